--- /dev/null
+++ b/placer.go
@@ -0,0 +1,120 @@
+package figseam
+
+import "context"
+
+// Job is a request to a model as the scheduler sees it.
+type Job struct {
+	Request RequestID  `cbor:"1,keyasint"`
+	Attempt AttemptID  `cbor:"2,keyasint"`
+	Account Account    `cbor:"3,keyasint,omitempty"`
+	Pool    string     `cbor:"4,keyasint"`
+	Holder  InstanceID `cbor:"5,keyasint"`
+	// PromptTokens is the estimated length of the prompt in tokens.
+	PromptTokens int `cbor:"6,keyasint"`
+	// OutputTokens is the expected length of the answer in tokens.
+	OutputTokens int `cbor:"7,keyasint"`
+	// Prefix holds the chained hashes of the prompt's blocks, first block first.
+	Prefix   []uint64 `cbor:"8,keyasint,omitempty"`
+	Priority int      `cbor:"9,keyasint,omitempty"`
+	// FirstToken is when the first token is due. A patient job has none.
+	FirstToken Deadline `cbor:"10,keyasint"`
+	// Avoid lists endpoints that failed this request before.
+	Avoid []EndpointID `cbor:"11,keyasint,omitempty"`
+	// Retry is the number of earlier attempts of the request.
+	Retry int `cbor:"12,keyasint,omitempty"`
+	// Hops counts how often the job was passed on to another data centre.
+	Hops int `cbor:"13,keyasint,omitempty"`
+}
+
+// Patient reports whether the job has no first-token deadline. A patient job
+// waits as long as it must and is never refused for load.
+func (j Job) Patient() bool { return j.FirstToken.IsZero() }
+
+// WithAttempt returns a copy for the next attempt, which avoids the endpoints
+// that failed the earlier ones.
+func (j Job) WithAttempt(attempt AttemptID, avoid ...EndpointID) Job {
+	j.Attempt = attempt
+	j.Avoid = append(append([]EndpointID{}, j.Avoid...), avoid...)
+	j.Retry++
+	return j
+}
+
+// WithPool returns a copy for another pool.
+func (j Job) WithPool(pool string) Job {
+	j.Pool = pool
+	return j
+}
+
+// WithHop returns a copy that was passed on once more.
+func (j Job) WithHop() Job {
+	j.Hops++
+	return j
+}
+
+// Placement says where a job runs. Decode is empty while the place for decode
+// is promised but not yet free; see [Placer.Seat].
+type Placement struct {
+	Grant   GrantID    `cbor:"1,keyasint"`
+	Prefill EndpointID `cbor:"2,keyasint"`
+	Decode  EndpointID `cbor:"3,keyasint,omitempty"`
+	Code    Code       `cbor:"4,keyasint"`
+	// Cell is the ledger that keeps the grant.
+	Cell CellID `cbor:"5,keyasint"`
+	// Owner is the instance that keeps the ledger.
+	Owner InstanceID `cbor:"6,keyasint,omitempty"`
+	// Scores holds the decision's alternatives for the log line.
+	Scores []Score `cbor:"7,keyasint,omitempty"`
+}
+
+// WithDecode returns a copy with the decode engine filled in.
+func (p Placement) WithDecode(endpoint EndpointID) Placement {
+	p.Decode = endpoint
+	return p
+}
+
+// Score is one alternative of a placement decision. Lower is better.
+type Score struct {
+	Endpoint EndpointID `cbor:"1,keyasint" json:"endpoint"`
+	Millis   float64    `cbor:"2,keyasint" json:"millis"`
+}
+
+// CellID names a group of a pool's engines within one data centre whose memory
+// is kept in one ledger by one instance.
+type CellID struct {
+	Pool       string     `cbor:"1,keyasint"`
+	DataCentre DataCentre `cbor:"2,keyasint"`
+	Index      int        `cbor:"3,keyasint"`
+}
+
+// Stage is how far a placed job has come.
+type Stage int
+
+// The stages of a placed job, in order.
+const (
+	StagePrefilling Stage = iota + 1
+	StagePrefilled
+	StageDecoding
+	StageEnded
+)
+
+// Progress reports how far a placed job has come.
+type Progress struct {
+	Grant   GrantID `cbor:"1,keyasint"`
+	Cell    CellID  `cbor:"2,keyasint"`
+	Stage   Stage   `cbor:"3,keyasint"`
+	Tokens  int     `cbor:"4,keyasint,omitempty"`
+	Failed  bool    `cbor:"5,keyasint,omitempty"`
+	Suspect string  `cbor:"6,keyasint,omitempty"`
+}
+
+// Placer decides when and where jobs run.
+type Placer interface {
+	// Place blocks until the job may start its prefill and returns where, or
+	// returns a *Refusal.
+	Place(ctx context.Context, job Job) (Placement, error)
+	// Seat blocks until the decode engine of a placement is known and has room.
+	// It fails when no room came before the prefill result is dropped.
+	Seat(ctx context.Context, placement Placement, heldUntil Deadline) (Placement, error)
+	// Report tells how far the job has come. StageEnded frees the grant.
+	Report(ctx context.Context, progress Progress)
+}
