--- a/agreement.go
+++ b/agreement.go
@@ -13,6 +13,16 @@
 	Body    []byte `cbor:"3,keyasint"`
 }
 
+// Applied is a committed command as a state machine sees it.
+type Applied struct {
+	// Index is the command's place in the log.
+	Index uint64
+	// LogMillis is the log's own clock in milliseconds. It advances with the
+	// leaders' monotonic clocks, so steps of a wall clock cannot move it.
+	LogMillis int64
+	Body      []byte
+}
+
 // StateMachine is what the replicated log drives. Apply must depend on nothing
 // but the state and its arguments, so that every replica comes to the same
 // state. Apply, Snapshot and Restore are never called at the same time.
@@ -20,7 +30,7 @@
 	// Name is the Machine of the commands that it takes.
 	Name() string
 	// Apply carries out a committed command and returns its result.
-	Apply(index uint64, body []byte) []byte
+	Apply(entry Applied) []byte
 	// Snapshot encodes the whole state.
 	Snapshot() ([]byte, error)
 	// Restore replaces the whole state.
--- a/engine.go
+++ b/engine.go
@@ -59,6 +59,9 @@
 	Attempt  AttemptID
 	Model    string
 	Prompt   string
+	// Answer is the text that the caller already has of the answer; the new
+	// attempt goes on behind it.
+	Answer   string
 	Priority int
 }
 
--- a/placer.go
+++ b/placer.go
@@ -64,6 +64,9 @@
 	Owner InstanceID `cbor:"6,keyasint,omitempty"`
 	// Scores holds the decision's alternatives for the log line.
 	Scores []Score `cbor:"7,keyasint,omitempty"`
+	// Resume names the running attempt whose stream is to be taken over in place
+	// of a new prefill. It is empty for a new start.
+	Resume AttemptID `cbor:"8,keyasint,omitempty"`
 }
 
 // WithDecode returns a copy with the decode engine filled in.
@@ -86,6 +89,17 @@
 	Index      int        `cbor:"3,keyasint"`
 }
 
+// HeldGrant is what the holder of a grant knows of it. An owner that took over
+// a cell rebuilds its ledger from these.
+type HeldGrant struct {
+	Grant   GrantID    `cbor:"1,keyasint"`
+	Job     Job        `cbor:"2,keyasint"`
+	Prefill EndpointID `cbor:"3,keyasint"`
+	Decode  EndpointID `cbor:"4,keyasint,omitempty"`
+	Stage   Stage      `cbor:"5,keyasint"`
+	Tokens  int        `cbor:"6,keyasint,omitempty"`
+}
+
 // Stage is how far a placed job has come.
 type Stage int
 
@@ -99,12 +113,13 @@
 
 // Progress reports how far a placed job has come.
 type Progress struct {
-	Grant   GrantID `cbor:"1,keyasint"`
-	Cell    CellID  `cbor:"2,keyasint"`
-	Stage   Stage   `cbor:"3,keyasint"`
-	Tokens  int     `cbor:"4,keyasint,omitempty"`
-	Failed  bool    `cbor:"5,keyasint,omitempty"`
-	Suspect string  `cbor:"6,keyasint,omitempty"`
+	Grant GrantID `cbor:"1,keyasint"`
+	Cell  CellID  `cbor:"2,keyasint"`
+	Stage Stage   `cbor:"3,keyasint"`
+	// Tokens is the number of answer tokens so far.
+	Tokens int `cbor:"4,keyasint,omitempty"`
+	// Suspect is an endpoint that failed the job; empty when none did.
+	Suspect EndpointID `cbor:"5,keyasint,omitempty"`
 }
 
 // Placer decides when and where jobs run.
@@ -113,7 +128,8 @@
 	// returns a *Refusal.
 	Place(ctx context.Context, job Job) (Placement, error)
 	// Seat blocks until the decode engine of a placement is known and has room.
-	// It fails when no room came before the prefill result is dropped.
+	// A placement that names a decode engine already is moved to another one. It
+	// fails when no room came before the prefill result is dropped.
 	Seat(ctx context.Context, placement Placement, heldUntil Deadline) (Placement, error)
 	// Report tells how far the job has come. StageEnded frees the grant.
 	Report(ctx context.Context, progress Progress)
--- /dev/null
+++ b/scheduler/host.go
@@ -0,0 +1,209 @@
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/explainer"
+)
+
+const (
+	// adoptionMillis is how long a new owner waits for holders to announce their
+	// grants before it gives new ones.
+	adoptionMillis = 600
+	// leaseTickMillis is how often leases are looked at and renewed.
+	leaseTickMillis = 1000
+)
+
+// Host runs the cells that this instance owns. Its methods are safe for
+// concurrent use.
+type Host struct {
+	membership figseam.Membership
+	states     figseam.EndpointStates
+	canceller  Canceller
+	dead       func(figseam.InstanceID) bool
+
+	// mu guards everything below.
+	mu     sync.Mutex
+	config *figseam.Config
+	cells  map[figseam.CellID]*hosted
+}
+
+type hosted struct {
+	cell *Cell
+	stop context.CancelFunc
+	done <-chan struct{}
+}
+
+// NewHost returns a host without cells. dead tells which instances are known to
+// be dead.
+func NewHost(membership figseam.Membership, states figseam.EndpointStates, canceller Canceller, dead func(figseam.InstanceID) bool) *Host {
+	return &Host{
+		membership: membership, states: states, canceller: canceller, dead: dead,
+		cells: map[figseam.CellID]*hosted{},
+	}
+}
+
+// Run keeps the cells in step with the configuration and the members, until ctx
+// ends. It returns a channel that is closed at the end.
+func (h *Host) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer h.stopAll()
+		ticker := time.NewTicker(leaseTickMillis * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			for _, c := range h.owned() {
+				c.Expire(h.dead)
+			}
+		}
+	}()
+	return done
+}
+
+func (h *Host) stopAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.cells {
+		c.stop()
+		<-c.done
+	}
+}
+
+// Configure takes a new configuration into force.
+func (h *Host) Configure(config *figseam.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.config = config
+	for id, c := range h.cells {
+		cells := CellsOf(config, id.Pool, id.DataCentre)
+		c.cell.Configure(config.Pools[id.Pool], cells[id])
+	}
+}
+
+// cell returns the cell, made at the first use: whoever asks believes that this
+// instance owns it, and a late belief costs less than a refusal.
+func (h *Host) cell(id figseam.CellID) (*Cell, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c, ok := h.cells[id]; ok {
+		return c.cell, nil
+	}
+	if h.config == nil {
+		return nil, figseam.Refuse(explainer.NoConfig, "instance has no configuration yet")
+	}
+	endpoints := CellsOf(h.config, id.Pool, id.DataCentre)[id]
+	if len(endpoints) == 0 {
+		return nil, figseam.Refuse(explainer.NoEngine, "pool %q has no engine in %s", id.Pool, id.DataCentre)
+	}
+	c := NewCell(id, h.membership.Self().ID, h.states, h.canceller, figseam.DeadlineAfterMillis(adoptionMillis))
+	c.Configure(h.config.Pools[id.Pool], endpoints)
+	ctx, stop := context.WithCancel(context.Background())
+	h.cells[id] = &hosted{cell: c, stop: stop, done: c.Run(ctx)}
+	return c, nil
+}
+
+func (h *Host) owned() []*Cell {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cells := make([]*Cell, 0, len(h.cells))
+	for _, id := range sortedCells(h.cells) {
+		cells = append(cells, h.cells[id].cell)
+	}
+	return cells
+}
+
+// Reconcile hands an engine's list of attempts to the cells that may know it.
+func (h *Host) Reconcile(endpoint figseam.EndpointID, report figseam.LoadReport) {
+	for _, c := range h.owned() {
+		if OwnerOf(c.id, h.membership.Members()) == c.owner {
+			c.Reconcile(endpoint, report.Attempts)
+		}
+	}
+}
+
+// CacheEvents hands changes of an engine's prefix cache to the cells.
+func (h *Host) CacheEvents(endpoint figseam.EndpointID, page figseam.CachePage) {
+	for _, c := range h.owned() {
+		c.CacheEvents(endpoint, page)
+	}
+}
+
+// Loads returns the load of every cell of this instance.
+func (h *Host) Loads() map[figseam.CellID]Load {
+	loads := map[figseam.CellID]Load{}
+	for _, c := range h.owned() {
+		loads[c.id] = c.Load()
+	}
+	return loads
+}
+
+// Owns reports whether this instance owns the cell that an engine belongs to,
+// and so has to watch the engine's load.
+func (h *Host) Owns(e figseam.Endpoint) bool {
+	h.mu.Lock()
+	config := h.config
+	h.mu.Unlock()
+	if config == nil || e.Pool == "" {
+		return false
+	}
+	for id, endpoints := range CellsOf(config, e.Pool, e.DataCentre) {
+		for _, o := range endpoints {
+			if o.Name == e.Name {
+				return OwnerOf(id, h.membership.Members()) == h.membership.Self().ID
+			}
+		}
+	}
+	return false
+}
+
+// Place asks a cell of this instance. See [figseam.Placer].
+func (h *Host) Place(ctx context.Context, id figseam.CellID, job figseam.Job) (figseam.Placement, error) {
+	c, err := h.cell(id)
+	if err != nil {
+		return figseam.Placement{}, err
+	}
+	p, err := c.Place(ctx, job)
+	if err == nil && ctx.Err() != nil {
+		c.Report(figseam.Progress{Grant: p.Grant, Cell: id, Stage: figseam.StageEnded})
+		return figseam.Placement{}, ctx.Err()
+	}
+	return p, err
+}
+
+// Seat asks a cell of this instance. See [figseam.Placer].
+func (h *Host) Seat(ctx context.Context, p figseam.Placement, heldUntil figseam.Deadline) (figseam.Placement, error) {
+	c, err := h.cell(p.Cell)
+	if err != nil {
+		return figseam.Placement{}, err
+	}
+	return c.Seat(ctx, p, heldUntil)
+}
+
+// Report tells a cell of this instance.
+func (h *Host) Report(p figseam.Progress) {
+	if c, err := h.cell(p.Cell); err == nil {
+		c.Report(p)
+	}
+}
+
+// Renew renews a holder's leases in a cell of this instance.
+func (h *Host) Renew(id figseam.CellID, holder figseam.InstanceID, held Digest) bool {
+	c, err := h.cell(id)
+	return err == nil && c.Renew(holder, held)
+}
+
+// Announce tells a cell of this instance what a holder has.
+func (h *Host) Announce(id figseam.CellID, holder figseam.InstanceID, held []figseam.HeldGrant) {
+	if c, err := h.cell(id); err == nil {
+		c.Announce(holder, held)
+	}
+}
--- /dev/null
+++ b/scheduler/router.go
@@ -0,0 +1,349 @@
+package scheduler
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/explainer"
+)
+
+const (
+	// ownerRetryMillis is the pause before an owner that cannot be reached is
+	// looked up again.
+	ownerRetryMillis = 50
+	// ownerWaitMillis bounds how long a job without a deadline for its first
+	// token waits for an owner to appear.
+	ownerWaitMillis = 20_000
+	// renewMillis is how often holders renew their leases.
+	renewMillis = 2000
+	// maxSpills bounds the other data centres that are asked for one job.
+	maxSpills = 2
+)
+
+// Peers carries messages to the owners of cells on other instances.
+type Peers interface {
+	Place(ctx context.Context, to figseam.InstanceID, cell figseam.CellID, job figseam.Job) (figseam.Placement, error)
+	Seat(ctx context.Context, to figseam.InstanceID, p figseam.Placement, heldUntil figseam.Deadline) (figseam.Placement, error)
+	Report(to figseam.InstanceID, p figseam.Progress)
+	Renew(ctx context.Context, to figseam.InstanceID, cell figseam.CellID, held Digest) (bool, error)
+	Announce(ctx context.Context, to figseam.InstanceID, cell figseam.CellID, held []figseam.HeldGrant) error
+}
+
+// Router is the entry side of placement. It implements [figseam.Placer].
+type Router struct {
+	membership figseam.Membership
+	config     func() *figseam.Config
+	host       *Host
+	peers      Peers
+
+	// mu guards everything below.
+	mu   sync.Mutex
+	held map[figseam.GrantID]*heldGrant
+	// busyTo remembers until when a cell said that it refuses.
+	busyTo map[figseam.CellID]time.Time
+}
+
+type heldGrant struct {
+	figseam.HeldGrant
+	cell  figseam.CellID
+	owner figseam.InstanceID
+}
+
+// NewRouter returns a router that holds no grant.
+func NewRouter(membership figseam.Membership, config func() *figseam.Config, host *Host, peers Peers) *Router {
+	return &Router{
+		membership: membership, config: config, host: host, peers: peers,
+		held: map[figseam.GrantID]*heldGrant{}, busyTo: map[figseam.CellID]time.Time{},
+	}
+}
+
+// Place finds a cell for the job: first in this data centre, then in others if
+// the cells here would miss the deadline.
+func (r *Router) Place(ctx context.Context, job figseam.Job) (figseam.Placement, error) {
+	config := r.config()
+	if config == nil {
+		return figseam.Placement{}, figseam.Refuse(explainer.NoConfig, "instance has no configuration yet")
+	}
+	job.Holder = r.membership.Self().ID
+	best := figseam.Refuse(explainer.NoEngine, "pool %q has no engine that can be reached", job.Pool)
+	for i, cell := range r.candidates(config, job) {
+		if i > 0 && !r.worthAsking(cell) {
+			continue
+		}
+		p, err := r.placeIn(ctx, cell, job)
+		if err == nil {
+			r.hold(p, job)
+			return p, nil
+		}
+		refusal := figseam.RefusalOf(err)
+		if refusal == nil {
+			return figseam.Placement{}, err
+		}
+		r.noteBusy(cell, refusal)
+		best = earlierRetry(best, refusal, i == 0)
+	}
+	return figseam.Placement{}, best
+}
+
+func earlierRetry(best, next *figseam.Refusal, first bool) *figseam.Refusal {
+	if first || next.RetryAt.Before(best.RetryAt) {
+		return next
+	}
+	return best
+}
+
+// candidates returns the cells to ask, in order: one of this data centre, picked
+// by request so that a resend finds its stream, a second one, then others.
+func (r *Router) candidates(config *figseam.Config, job figseam.Job) []figseam.CellID {
+	home := r.membership.Self().DataCentre
+	local := sortedCells(CellsOf(config, job.Pool, home))
+	slices.SortFunc(local, func(a, b figseam.CellID) int {
+		return cmp.Compare(mix(string(job.Request), uint64(b.Index)), mix(string(job.Request), uint64(a.Index)))
+	})
+	if len(local) > 2 {
+		local = local[:2]
+	}
+	var remote []figseam.CellID
+	for _, dc := range r.otherDataCentres() {
+		cells := sortedCells(CellsOf(config, job.Pool, dc))
+		if len(cells) > 0 {
+			remote = append(remote, cells[rand.IntN(len(cells))])
+		}
+	}
+	rand.Shuffle(len(remote), func(i, j int) { remote[i], remote[j] = remote[j], remote[i] })
+	if len(remote) > maxSpills {
+		remote = remote[:maxSpills]
+	}
+	return append(local, remote...)
+}
+
+func (r *Router) otherDataCentres() []figseam.DataCentre {
+	home := r.membership.Self().DataCentre
+	var found []figseam.DataCentre
+	for _, m := range r.membership.Members() {
+		if m.DataCentre != home && m.Usable() && !slices.Contains(found, m.DataCentre) {
+			found = append(found, m.DataCentre)
+		}
+	}
+	return found
+}
+
+func (r *Router) worthAsking(cell figseam.CellID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().After(r.busyTo[cell])
+}
+
+func (r *Router) noteBusy(cell figseam.CellID, refusal *figseam.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !refusal.RetryAt.IsZero() {
+		r.busyTo[cell] = refusal.RetryAt.Time()
+	}
+}
+
+// placeIn asks the owner of one cell, and its successor when it is lost while
+// the job waits. A job that was not placed did not start, so that is safe.
+func (r *Router) placeIn(ctx context.Context, cell figseam.CellID, job figseam.Job) (figseam.Placement, error) {
+	giveUp := job.FirstToken
+	if job.Patient() {
+		giveUp = figseam.DeadlineAfterMillis(ownerWaitMillis)
+	}
+	for {
+		owner := OwnerOf(cell, r.membership.Members())
+		p, err := r.askPlace(ctx, owner, cell, job)
+		if err == nil || ctx.Err() != nil || figseam.RefusalOf(err) != nil {
+			return p, err
+		}
+		if owner == "" || giveUp.Passed() {
+			return figseam.Placement{}, figseam.Refuse(explainer.NoOwner, "owner of cell %s/%s/%d does not answer", cell.Pool, cell.DataCentre, cell.Index)
+		}
+		select {
+		case <-ctx.Done():
+			return figseam.Placement{}, ctx.Err()
+		case <-time.After(ownerRetryMillis * time.Millisecond):
+		}
+	}
+}
+
+var errNoOwner = errors.New("cell has no owner")
+
+func (r *Router) askPlace(ctx context.Context, owner figseam.InstanceID, cell figseam.CellID, job figseam.Job) (figseam.Placement, error) {
+	switch owner {
+	case "":
+		return figseam.Placement{}, errNoOwner
+	case r.membership.Self().ID:
+		return r.host.Place(ctx, cell, job)
+	default:
+		return r.peers.Place(ctx, owner, cell, job)
+	}
+}
+
+func (r *Router) hold(p figseam.Placement, job figseam.Job) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	h := &heldGrant{cell: p.Cell, owner: p.Owner}
+	h.HeldGrant = figseam.HeldGrant{Grant: p.Grant, Job: job, Prefill: p.Prefill, Decode: p.Decode, Stage: figseam.StagePrefilling}
+	if p.Resume != "" {
+		h.Stage, h.Job.Attempt = figseam.StageDecoding, p.Resume
+	}
+	r.held[p.Grant] = h
+}
+
+// Seat asks the owner for the decode engine. See [figseam.Placer].
+func (r *Router) Seat(ctx context.Context, p figseam.Placement, heldUntil figseam.Deadline) (figseam.Placement, error) {
+	for {
+		owner := OwnerOf(p.Cell, r.membership.Members())
+		seated, err := r.askSeat(ctx, owner, p, heldUntil)
+		if err == nil {
+			r.noteSeat(seated)
+			return seated, nil
+		}
+		if figseam.RefusalOf(err) != nil || ctx.Err() != nil || heldUntil.Passed() {
+			return figseam.Placement{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return figseam.Placement{}, ctx.Err()
+		case <-time.After(ownerRetryMillis * time.Millisecond):
+		}
+		r.announce(ctx, p.Cell, OwnerOf(p.Cell, r.membership.Members()))
+	}
+}
+
+func (r *Router) askSeat(ctx context.Context, owner figseam.InstanceID, p figseam.Placement, heldUntil figseam.Deadline) (figseam.Placement, error) {
+	switch owner {
+	case "":
+		return figseam.Placement{}, errNoOwner
+	case r.membership.Self().ID:
+		return r.host.Seat(ctx, p, heldUntil)
+	default:
+		return r.peers.Seat(ctx, owner, p, heldUntil)
+	}
+}
+
+func (r *Router) noteSeat(p figseam.Placement) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if h, ok := r.held[p.Grant]; ok {
+		h.Decode = p.Decode
+	}
+}
+
+// Report tells the owner how far a job has come. A message lost with the owner
+// is made good by the next renewal.
+func (r *Router) Report(_ context.Context, p figseam.Progress) {
+	r.mu.Lock()
+	if h, ok := r.held[p.Grant]; ok {
+		h.Stage, h.Tokens = max(h.Stage, p.Stage), max(h.Tokens, p.Tokens)
+		if p.Stage == figseam.StageEnded {
+			delete(r.held, p.Grant)
+		}
+	}
+	r.mu.Unlock()
+	owner := OwnerOf(p.Cell, r.membership.Members())
+	if owner == r.membership.Self().ID {
+		r.host.Report(p)
+		return
+	}
+	r.peers.Report(owner, p)
+}
+
+// Run renews the leases of the grants that this instance holds, until ctx ends.
+// It returns a channel that is closed at the end.
+func (r *Router) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(renewMillis * time.Millisecond / 4)
+		defer ticker.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			r.followOwners(ctx, i%4 == 0)
+		}
+	}()
+	return done
+}
+
+// followOwners announces grants to owners that changed, and with renew set
+// renews all leases.
+func (r *Router) followOwners(ctx context.Context, renew bool) {
+	members := r.membership.Members()
+	for _, cell := range r.heldCells() {
+		owner := OwnerOf(cell, members)
+		if owner == "" {
+			continue
+		}
+		if r.changeOwner(cell, owner) || (renew && !r.renew(ctx, cell, owner)) {
+			r.announce(ctx, cell, owner)
+		}
+	}
+}
+
+func (r *Router) heldCells() []figseam.CellID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cells := map[figseam.CellID]bool{}
+	for _, h := range r.held {
+		cells[h.cell] = true
+	}
+	return sortedCells(cells)
+}
+
+// changeOwner notes the present owner and reports whether it is a new one.
+func (r *Router) changeOwner(cell figseam.CellID, owner figseam.InstanceID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := false
+	for _, h := range r.held {
+		if h.cell == cell && h.owner != owner {
+			h.owner = owner
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (r *Router) renew(ctx context.Context, cell figseam.CellID, owner figseam.InstanceID) bool {
+	var held Digest
+	for _, h := range r.heldIn(cell) {
+		held = held.With(h.Grant)
+	}
+	if owner == r.membership.Self().ID {
+		return r.host.Renew(cell, owner, held)
+	}
+	same, err := r.peers.Renew(ctx, owner, cell, held)
+	return err != nil || same
+}
+
+func (r *Router) announce(ctx context.Context, cell figseam.CellID, owner figseam.InstanceID) {
+	held := r.heldIn(cell)
+	if owner == r.membership.Self().ID {
+		r.host.Announce(cell, owner, held)
+		return
+	}
+	_ = r.peers.Announce(ctx, owner, cell, held)
+}
+
+func (r *Router) heldIn(cell figseam.CellID) []figseam.HeldGrant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var held []figseam.HeldGrant
+	for _, h := range r.held {
+		if h.cell == cell {
+			held = append(held, h.HeldGrant)
+		}
+	}
+	slices.SortFunc(held, func(a, b figseam.HeldGrant) int { return cmp.Compare(a.Grant, b.Grant) })
+	return held
+}
