--- a/checker/kinds.go
+++ b/checker/kinds.go
@@ -64,3 +64,69 @@
 		c.Accounts[v.Name] = v
 	}
 }
+
+// Amend returns a copy of a configuration with checked objects added or replaced
+// and others removed. A nil configuration counts as empty.
+func Amend(old *figseam.Config, version uint64, objects []Object, remove []figseam.ObjectID) *figseam.Config {
+	if old == nil {
+		return Build(version, objects)
+	}
+	c := *old
+	c.Version = version
+	changed := map[figseam.Kind]bool{}
+	for _, o := range objects {
+		changed[o.ID.Kind] = true
+	}
+	for _, id := range remove {
+		changed[id.Kind] = true
+	}
+	for kind := range changed {
+		copyKind(&c, kind)
+	}
+	for _, id := range remove {
+		drop(&c, id)
+	}
+	for _, o := range objects {
+		add(&c, o.Value)
+	}
+	return &c
+}
+
+// copyKind gives a configuration a map of its own for a kind.
+func copyKind(c *figseam.Config, kind figseam.Kind) {
+	switch kind {
+	case figseam.KindPool:
+		c.Pools = maps.Clone(c.Pools)
+	case figseam.KindEndpoint:
+		c.Endpoints = maps.Clone(c.Endpoints)
+	case figseam.KindService:
+		c.Services = maps.Clone(c.Services)
+	case figseam.KindModel:
+		c.Models = maps.Clone(c.Models)
+	case figseam.KindRoute:
+		c.Routes = maps.Clone(c.Routes)
+	case figseam.KindAccountClass:
+		c.Classes = maps.Clone(c.Classes)
+	case figseam.KindAccount:
+		c.Accounts = maps.Clone(c.Accounts)
+	}
+}
+
+func drop(c *figseam.Config, id figseam.ObjectID) {
+	switch id.Kind {
+	case figseam.KindPool:
+		delete(c.Pools, id.Name)
+	case figseam.KindEndpoint:
+		delete(c.Endpoints, figseam.EndpointID(id.Name))
+	case figseam.KindService:
+		delete(c.Services, id.Name)
+	case figseam.KindModel:
+		delete(c.Models, id.Name)
+	case figseam.KindRoute:
+		delete(c.Routes, id.Name)
+	case figseam.KindAccountClass:
+		delete(c.Classes, id.Name)
+	case figseam.KindAccount:
+		delete(c.Accounts, figseam.Account(id.Name))
+	}
+}
--- /dev/null
+++ b/executor/attempt.go
@@ -0,0 +1,310 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/figseam/figseam"
+)
+
+const (
+	// prefillSlack is how many times its predicted length a prefill may take.
+	prefillSlack = 5
+	// shortestPrefillMillis is the least time that a prefill is given.
+	shortestPrefillMillis = 2000
+	// firstChunkMillis is how long the first chunk may take beyond the predicted
+	// transfer before the transfer counts as stalled.
+	firstChunkMillis = 250
+	// stallMillis is how long a running stream may be silent.
+	stallMillis = 2000
+	// resumesPerStream bounds the reconnections of one attempt.
+	resumesPerStream = 3
+	// progressTokens is how often the owner hears of the answer's length.
+	progressTokens = 64
+)
+
+// attempt is one try on a pair of engines.
+type attempt struct {
+	*run
+	id        figseam.AttemptID
+	placement figseam.Placement
+	computed  int
+	heldUntil figseam.Deadline
+	// decoding lists the decode engines that were told to run the attempt.
+	decoding []figseam.EndpointID
+	finished bool
+}
+
+func (a *attempt) endpoint(id figseam.EndpointID) figseam.Endpoint {
+	if config := a.x.config(); config != nil {
+		return config.Endpoints[id]
+	}
+	return figseam.Endpoint{Name: id}
+}
+
+func (a *attempt) engine(id figseam.EndpointID) figseam.Engine {
+	return a.x.dialer.Engine(a.endpoint(id))
+}
+
+func (a *attempt) report(stage figseam.Stage, suspect figseam.EndpointID) {
+	a.x.placer.Report(context.Background(), a.progress(stage, suspect))
+}
+
+func (a *attempt) progress(stage figseam.Stage, suspect figseam.EndpointID) figseam.Progress {
+	return figseam.Progress{
+		Grant: a.placement.Grant, Cell: a.placement.Cell, Stage: stage,
+		Tokens: a.result.AnswerTokens, Suspect: suspect,
+	}
+}
+
+func (a *attempt) carryOut(ctx context.Context) error {
+	if a.placement.Resume != "" {
+		a.decoding = append(a.decoding, a.placement.Decode)
+		return a.read(ctx, nil)
+	}
+	if err := a.prefill(ctx); err != nil {
+		return err
+	}
+	return a.decode(ctx)
+}
+
+func (a *attempt) prefill(ctx context.Context) error {
+	a.started = true
+	pool := a.x.config().Pools[a.task.Job.Pool]
+	expected := float64(a.task.Job.PromptTokens) / max(1, pool.PrefillTokensPerSecond)
+	limit := shortestPrefillMillis*time.Millisecond + time.Duration(prefillSlack*expected*float64(time.Second))
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	result, err := a.engine(a.placement.Prefill).Prefill(limited, figseam.PrefillOrder{
+		Request: a.task.Job.Request, Attempt: a.id, Model: a.task.Model,
+		Prompt: a.task.Prompt, Answer: string(a.answer), Priority: a.task.Job.Priority,
+	})
+	if err != nil {
+		return a.failed(ctx, a.placement.Prefill, err)
+	}
+	a.computed = result.Tokens - result.Cached
+	a.heldUntil = result.HeldUntil
+	a.result.PromptTokens = result.Tokens
+	a.x.observer.Prefilled(a.computed)
+	a.report(figseam.StagePrefilled, "")
+	return nil
+}
+
+// failed wraps an engine's error, unless the caller ended the request.
+func (a *attempt) failed(ctx context.Context, suspect figseam.EndpointID, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return &errAttempt{suspect: suspect, cause: err}
+}
+
+// decode starts the answer, moving to another decode engine for as long as the
+// prefill result is held and no chunk has come.
+func (a *attempt) decode(ctx context.Context) error {
+	seated := a.placement
+	var err error
+	if seated.Decode == "" {
+		seated, err = a.x.placer.Seat(ctx, seated, a.heldUntil)
+	}
+	for {
+		if err != nil {
+			return a.failed(ctx, "", err)
+		}
+		a.placement = seated
+		a.decoding = append(a.decoding, seated.Decode)
+		stream, first, startErr := a.start(ctx, seated.Decode)
+		if startErr == nil {
+			return a.readFrom(ctx, stream, first)
+		}
+		if ctx.Err() != nil || a.heldUntil.Passed() {
+			return a.failed(ctx, seated.Decode, startErr)
+		}
+		a.x.log.Warn().Str("event", "transfer_moved").Str("request", string(a.task.Job.Request)).
+			Str("endpoint", string(seated.Decode)).Err(startErr).Send()
+		a.x.canceller.Cancel(a.endpoint(seated.Decode), a.id, nil)
+		seated, err = a.x.placer.Seat(ctx, seated, a.heldUntil)
+	}
+}
+
+// start sends the decode order and waits for the first chunk for as long as the
+// transfer should take.
+func (a *attempt) start(ctx context.Context, decode figseam.EndpointID) (*watched, figseam.Chunk, error) {
+	pool := a.x.config().Pools[a.task.Job.Pool]
+	transfer := float64(a.task.Job.PromptTokens) / max(1, pool.TransferTokensPerSecond)
+	limit := firstChunkMillis*time.Millisecond + time.Duration(3*transfer*float64(time.Second))
+	w := watch(ctx)
+	w.expect(limit)
+	stream, err := a.engine(decode).Decode(w.ctx, figseam.DecodeOrder{
+		Request: a.task.Job.Request, Attempt: a.id, Model: a.task.Model,
+		Source: a.endpoint(a.placement.Prefill).Address,
+		Offset: a.result.AnswerTokens, MaxTokens: a.task.MaxTokens, Priority: a.task.Job.Priority,
+	})
+	if err != nil {
+		w.close()
+		return nil, figseam.Chunk{}, err
+	}
+	w.stream = stream
+	first, err := w.next(limit)
+	if err != nil {
+		w.close()
+		return nil, figseam.Chunk{}, err
+	}
+	a.report(figseam.StageDecoding, "")
+	return w, first, nil
+}
+
+func (a *attempt) readFrom(ctx context.Context, w *watched, first figseam.Chunk) error {
+	if err := a.take(first); err != nil {
+		w.close()
+		return err
+	}
+	return a.read(ctx, w)
+}
+
+// read passes chunks on until the end, resuming a broken stream from the next
+// offset. A nil stream is opened first.
+func (a *attempt) read(ctx context.Context, w *watched) error {
+	for resumes := 0; ; resumes++ {
+		if w == nil {
+			var err error
+			if w, err = a.resume(ctx); err != nil {
+				return a.failed(ctx, a.placement.Decode, err)
+			}
+		}
+		err := a.drain(w)
+		w.close()
+		w = nil
+		if err == nil || errors.Is(err, ErrCallerGone) {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if resumes >= resumesPerStream || errors.Is(err, figseam.ErrEvicted) {
+			return a.failed(ctx, a.placement.Decode, err)
+		}
+		a.x.log.Warn().Str("event", "stream_resumed").Str("request", string(a.task.Job.Request)).
+			Str("endpoint", string(a.placement.Decode)).Int("offset", a.result.AnswerTokens).Err(err).Send()
+	}
+}
+
+func (a *attempt) resume(ctx context.Context) (*watched, error) {
+	w := watch(ctx)
+	w.expect(stallMillis * time.Millisecond)
+	stream, err := a.engine(a.placement.Decode).Resume(w.ctx, a.id, a.result.AnswerTokens)
+	if err != nil {
+		w.close()
+		return nil, err
+	}
+	w.stream = stream
+	return w, nil
+}
+
+// drain passes chunks on until the end of the answer or of the stream.
+func (a *attempt) drain(w *watched) error {
+	for !a.finished {
+		c, err := w.next(stallMillis * time.Millisecond)
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if err := a.take(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// errGap means that a stream left tokens out; the answer is read again from
+// where the caller is.
+var errGap = errors.New("stream skipped tokens")
+
+// take passes on a chunk that continues the answer, discards one that the caller
+// has, and refuses one that leaves a gap or overlaps in part.
+func (a *attempt) take(c figseam.Chunk) error {
+	want := a.result.AnswerTokens
+	if c.Offset+c.Tokens <= want && c.Finish == "" {
+		return nil
+	}
+	if c.Offset != want {
+		return errGap
+	}
+	if err := a.accept(c); err != nil {
+		return err
+	}
+	a.finished = c.Finish != ""
+	if a.result.AnswerTokens/progressTokens != want/progressTokens {
+		a.report(figseam.StageDecoding, "")
+	}
+	return nil
+}
+
+// cleanUp frees what the engines hold for an attempt that did not finish, and
+// gives the grant back when they have confirmed.
+func (a *attempt) cleanUp(err error) {
+	if a.finished {
+		a.report(figseam.StageEnded, "")
+		return
+	}
+	a.result.WastedTokens += a.computed
+	a.x.observer.Wasted(a.computed)
+	var suspect figseam.EndpointID
+	if failed, ok := errors.AsType[*errAttempt](err); ok {
+		suspect = failed.suspect
+	}
+	a.report(figseam.StagePrefilling, suspect)
+	end, placer := a.progress(figseam.StageEnded, ""), a.x.placer
+	ended := func() { placer.Report(context.Background(), end) }
+	if a.started && a.placement.Prefill != "" {
+		a.x.canceller.Cancel(a.endpoint(a.placement.Prefill), a.id, nil)
+	}
+	if len(a.decoding) == 0 {
+		ended()
+		return
+	}
+	for i, id := range a.decoding {
+		confirmed := ended
+		if i < len(a.decoding)-1 {
+			confirmed = nil
+		}
+		a.x.canceller.Cancel(a.endpoint(id), a.id, confirmed)
+	}
+}
+
+// watched is a stream whose connection is cut when a chunk does not come in time.
+type watched struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	timer  *time.Timer
+	stream figseam.ChunkStream
+}
+
+func watch(ctx context.Context) *watched {
+	w := &watched{}
+	w.ctx, w.cancel = context.WithCancel(ctx)
+	w.timer = time.AfterFunc(time.Hour, w.cancel)
+	return w
+}
+
+// expect cuts the connection unless the next chunk comes within limit.
+func (w *watched) expect(limit time.Duration) { w.timer.Reset(limit) }
+
+// next returns the next chunk if it comes within limit.
+func (w *watched) next(limit time.Duration) (figseam.Chunk, error) {
+	w.expect(limit)
+	c, err := w.stream.Next()
+	w.timer.Stop()
+	return c, err
+}
+
+func (w *watched) close() {
+	w.timer.Stop()
+	w.cancel()
+	if w.stream != nil {
+		_ = w.stream.Close()
+	}
+}
--- /dev/null
+++ b/executor/budget.go
@@ -0,0 +1,42 @@
+package executor
+
+import "sync"
+
+const (
+	// retryShare is how many retries an instance may add per request.
+	retryShare = 0.1
+	// retryReserve is how many retries may be saved up; it lets a quiet instance
+	// retry at all.
+	retryReserve = 20
+)
+
+// RetryBudget keeps retries to a share of the requests, so that a failing pool
+// is not loaded with its own retries. It is safe for concurrent use.
+type RetryBudget struct {
+	// mu guards saved.
+	mu    sync.Mutex
+	saved float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget() *RetryBudget {
+	return &RetryBudget{saved: retryReserve}
+}
+
+// Request notes a first attempt.
+func (b *RetryBudget) Request() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.saved = min(retryReserve, b.saved+retryShare)
+}
+
+// Retry takes one retry out of the budget, if it has one.
+func (b *RetryBudget) Retry() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.saved < 1 {
+		return false
+	}
+	b.saved--
+	return true
+}
--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -49,6 +49,7 @@
 	MayHaveRun        figseam.Code = "may_have_run"
 	KeyReused         figseam.Code = "key_reused"
 	ClaimLost         figseam.Code = "claim_lost"
+	ClaimsFull        figseam.Code = "claims_full"
 	CallFailed        figseam.Code = "call_failed"
 	AnswerTooLarge    figseam.Code = "answer_too_large"
 )
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -176,6 +176,13 @@
 		Action: "Retry with the same key.",
 		Since:  "0.1",
 	},
+	{
+		Code:   "claims_full",
+		Title:  "No room for another claim",
+		Text:   "The log keeps as many claims as it may. The call was not sent.",
+		Action: "Look at figseam_claims; claims expire a day after they were made.",
+		Since:  "0.1",
+	},
 	{
 		Code:   "call_failed",
 		Title:  "Service call failed",
--- a/membership.go
+++ b/membership.go
@@ -20,6 +20,8 @@
 	State      InstanceState `cbor:"4,keyasint" json:"state"`
 	// Incarnation rises when the instance restarts or refutes a suspicion.
 	Incarnation uint64 `cbor:"5,keyasint" json:"incarnation"`
+	// Run is a random number that each start of the process draws anew.
+	Run uint64 `cbor:"7,keyasint" json:"run"`
 	// Version is the configuration version that the instance has applied.
 	Version uint64 `cbor:"6,keyasint" json:"version"`
 }
--- /dev/null
+++ b/publisher/machine.go
@@ -0,0 +1,196 @@
+package publisher
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/figseam/figseam"
+)
+
+// KeptChanges is for how many versions the outcome of a change is remembered.
+const KeptChanges = 4096
+
+// MachineName is the state machine's name in commands.
+const MachineName = "config"
+
+// Object is a configuration object as JSON.
+type Object struct {
+	ID   figseam.ObjectID `cbor:"1,keyasint" json:"id"`
+	Body []byte           `cbor:"2,keyasint" json:"body"`
+}
+
+// Change is a change that somebody wants to publish.
+type Change struct {
+	// Number identifies the change; a resend has the same.
+	Number string             `cbor:"1,keyasint"`
+	Base   uint64             `cbor:"2,keyasint"`
+	Author string             `cbor:"3,keyasint,omitempty"`
+	Upsert []Object           `cbor:"4,keyasint,omitempty"`
+	Delete []figseam.ObjectID `cbor:"5,keyasint,omitempty"`
+}
+
+// Verdict is what became of a change.
+type Verdict uint8
+
+// The verdicts.
+const (
+	VerdictApplied Verdict = iota + 1
+	VerdictConflict
+	VerdictForgotten
+)
+
+// Outcome answers a change.
+type Outcome struct {
+	Verdict Verdict `cbor:"1,keyasint"`
+	// Version is the version that the change made, or the present one.
+	Version uint64 `cbor:"2,keyasint"`
+}
+
+// Delta is the difference between two versions that follow one another.
+type Delta struct {
+	Version   uint64             `cbor:"1,keyasint" json:"version"`
+	Number    string             `cbor:"2,keyasint" json:"change"`
+	Author    string             `cbor:"3,keyasint,omitempty" json:"author,omitempty"`
+	LogMillis int64              `cbor:"4,keyasint" json:"log_ms"`
+	Upsert    []Object           `cbor:"5,keyasint,omitempty" json:"-"`
+	Delete    []figseam.ObjectID `cbor:"6,keyasint,omitempty" json:"-"`
+}
+
+// Record is an entry of the history.
+type Record struct {
+	Version uint64 `cbor:"1,keyasint" json:"version"`
+	Number  string `cbor:"2,keyasint" json:"change"`
+	Author  string `cbor:"3,keyasint,omitempty" json:"author,omitempty"`
+	Upserts int    `cbor:"4,keyasint" json:"upserts"`
+	Deletes int    `cbor:"5,keyasint" json:"deletes"`
+}
+
+// state is what a snapshot holds.
+type state struct {
+	Version uint64   `cbor:"1,keyasint"`
+	Objects []Object `cbor:"2,keyasint"`
+	Records []Record `cbor:"3,keyasint"`
+}
+
+// Follower takes what the log agreed on. A Store is one.
+type Follower interface {
+	ApplyDelta(d Delta) bool
+	Replace(version uint64, objects []Object) bool
+}
+
+// Machine is the replicated state: objects, version and recent changes. It
+// implements [figseam.StateMachine].
+type Machine struct {
+	follower Follower
+	version  uint64
+	objects  map[figseam.ObjectID][]byte
+	records  []Record
+	byNumber map[string]uint64
+}
+
+// NewMachine returns an empty state whose changes go to follower.
+func NewMachine(follower Follower) *Machine {
+	return &Machine{follower: follower, objects: map[figseam.ObjectID][]byte{}, byNumber: map[string]uint64{}}
+}
+
+// Name implements [figseam.StateMachine].
+func (m *Machine) Name() string { return MachineName }
+
+// Apply implements [figseam.StateMachine]: it takes a change and returns its
+// outcome.
+func (m *Machine) Apply(entry figseam.Applied) []byte {
+	var c Change
+	if cbor.Unmarshal(entry.Body, &c) != nil {
+		return nil
+	}
+	outcome := m.decide(c)
+	if outcome.Verdict == VerdictApplied && outcome.Version > m.version {
+		m.apply(c, entry.LogMillis)
+	}
+	result, err := cbor.Marshal(outcome)
+	if err != nil {
+		return nil
+	}
+	return result
+}
+
+// decide tells the outcome without changing anything.
+func (m *Machine) decide(c Change) Outcome {
+	if v, ok := m.byNumber[c.Number]; ok {
+		return Outcome{Verdict: VerdictApplied, Version: v}
+	}
+	switch {
+	case c.Base == m.version:
+		return Outcome{Verdict: VerdictApplied, Version: m.version + 1}
+	case c.Base < m.firstKept():
+		return Outcome{Verdict: VerdictForgotten, Version: m.version}
+	default:
+		return Outcome{Verdict: VerdictConflict, Version: m.version}
+	}
+}
+
+// firstKept is the lowest base whose changes are all remembered: had a change on
+// it been applied, it would be found.
+func (m *Machine) firstKept() uint64 {
+	return m.version - uint64(len(m.records))
+}
+
+func (m *Machine) apply(c Change, logMillis int64) {
+	m.version++
+	for _, o := range c.Upsert {
+		m.objects[o.ID] = o.Body
+	}
+	for _, id := range c.Delete {
+		delete(m.objects, id)
+	}
+	m.records = append(m.records, Record{
+		Version: m.version, Number: c.Number, Author: c.Author,
+		Upserts: len(c.Upsert), Deletes: len(c.Delete),
+	})
+	m.byNumber[c.Number] = m.version
+	if len(m.records) > KeptChanges {
+		delete(m.byNumber, m.records[0].Number)
+		m.records = slices.Clone(m.records[1:])
+	}
+	m.follower.ApplyDelta(Delta{
+		Version: m.version, Number: c.Number, Author: c.Author, LogMillis: logMillis,
+		Upsert: c.Upsert, Delete: c.Delete,
+	})
+}
+
+// Snapshot implements [figseam.StateMachine].
+func (m *Machine) Snapshot() ([]byte, error) {
+	return cbor.Marshal(state{Version: m.version, Objects: sortedObjects(m.objects), Records: m.records})
+}
+
+// Restore implements [figseam.StateMachine].
+func (m *Machine) Restore(snapshot []byte) error {
+	var s state
+	if err := cbor.Unmarshal(snapshot, &s); err != nil {
+		return err
+	}
+	m.version, m.records = s.Version, s.Records
+	m.objects = make(map[figseam.ObjectID][]byte, len(s.Objects))
+	for _, o := range s.Objects {
+		m.objects[o.ID] = o.Body
+	}
+	m.byNumber = make(map[string]uint64, len(s.Records))
+	for _, r := range s.Records {
+		m.byNumber[r.Number] = r.Version
+	}
+	m.follower.Replace(s.Version, s.Objects)
+	return nil
+}
+
+func sortedObjects(objects map[figseam.ObjectID][]byte) []Object {
+	sorted := make([]Object, 0, len(objects))
+	for _, id := range slices.SortedFunc(maps.Keys(objects), compareIDs) {
+		sorted = append(sorted, Object{ID: id, Body: objects[id]})
+	}
+	return sorted
+}
+
+func compareIDs(a, b figseam.ObjectID) int { return strings.Compare(a.String(), b.String()) }
--- /dev/null
+++ b/publisher/spreader.go
@@ -0,0 +1,209 @@
+package publisher
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/figseam/figseam"
+)
+
+const (
+	// fanOut is to how many instances a new version is pushed.
+	fanOut = 3
+	// pullMillis is how often an instance compares its version with a peer's.
+	pullMillis = 1000
+	// pullTimeoutMillis bounds one pull.
+	pullTimeoutMillis = 2000
+)
+
+// Peers carries updates between instances.
+type Peers interface {
+	// Pull asks a peer for what follows a version.
+	Pull(ctx context.Context, to figseam.InstanceID, after uint64, cursor *figseam.ObjectID) (Update, error)
+	// Push sends an update without waiting for an answer.
+	Push(to figseam.InstanceID, u Update)
+}
+
+// Spreader brings versions to all instances: it pushes new ones to a few peers
+// and pulls from one peer at intervals.
+type Spreader struct {
+	store      *Store
+	membership figseam.Membership
+	peers      Peers
+	fresh      chan Update
+	behind     chan figseam.InstanceID
+}
+
+// NewSpreader returns a spreader for a store.
+func NewSpreader(store *Store, membership figseam.Membership, peers Peers) *Spreader {
+	s := &Spreader{
+		store: store, membership: membership, peers: peers,
+		fresh: make(chan Update, 64), behind: make(chan figseam.InstanceID, 16),
+	}
+	store.Watch(s.noteVersion)
+	return s
+}
+
+// noteVersion queues a new version for pushing. When the queue is full the peers
+// pull it.
+func (s *Spreader) noteVersion(c *figseam.Config) {
+	u := s.store.Since(c.Version-1, nil)
+	if u.Full || len(u.Deltas) != 1 {
+		u = Update{Version: c.Version}
+	}
+	select {
+	case s.fresh <- u:
+	default:
+	}
+}
+
+// Receive takes a pushed update from a peer.
+func (s *Spreader) Receive(from figseam.InstanceID, u Update) {
+	for _, d := range u.Deltas {
+		s.store.ApplyDelta(d)
+	}
+	if u.Version > s.store.Version() {
+		select {
+		case s.behind <- from:
+		default:
+		}
+	}
+}
+
+// Run pushes and pulls until ctx ends. It returns a channel that is closed at
+// the end.
+func (s *Spreader) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(pullMillis * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case u := <-s.fresh:
+				s.push(u)
+			case from := <-s.behind:
+				s.pull(ctx, from)
+			case <-ticker.C:
+				s.compare(ctx)
+			}
+		}
+	}()
+	return done
+}
+
+// push sends an update to a few random instances of this data centre.
+func (s *Spreader) push(u Update) {
+	for _, m := range s.some(fanOut, true) {
+		s.peers.Push(m.ID, u)
+	}
+}
+
+// compare pulls from a member that is known to have a higher version, or else
+// from a random one; now and then from another data centre.
+func (s *Spreader) compare(ctx context.Context) {
+	mine := s.store.Version()
+	for _, m := range s.membership.Members() {
+		if m.Version > mine && m.Usable() && m.ID != s.membership.Self().ID {
+			s.pull(ctx, m.ID)
+			return
+		}
+	}
+	if mine > 0 && rand.IntN(4) != 0 {
+		return
+	}
+	for _, m := range s.some(1, rand.IntN(2) == 0) {
+		s.pull(ctx, m.ID)
+	}
+}
+
+// some returns up to n random other members, of this data centre if local is set
+// and there are any.
+func (s *Spreader) some(n int, local bool) []figseam.Member {
+	self := s.membership.Self()
+	var near, all []figseam.Member
+	for _, m := range s.membership.Members() {
+		if m.ID == self.ID || m.State == figseam.InstanceDead {
+			continue
+		}
+		all = append(all, m)
+		if m.DataCentre == self.DataCentre {
+			near = append(near, m)
+		}
+	}
+	if local && len(near) > 0 {
+		all = near
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+// pull brings this instance to a peer's version. Pages of the whole set may be
+// of different versions; the deltas since the first page's version make them
+// one.
+func (s *Spreader) pull(ctx context.Context, from figseam.InstanceID) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeoutMillis*time.Millisecond)
+	defer cancel()
+	for ctx.Err() == nil {
+		u, err := s.peers.Pull(ctx, from, s.store.Version(), nil)
+		if err != nil || u.Version <= s.store.Version() {
+			return
+		}
+		if u.Full {
+			s.pullWhole(ctx, from, u)
+			continue
+		}
+		if len(u.Deltas) == 0 {
+			return
+		}
+		for _, d := range u.Deltas {
+			s.store.ApplyDelta(d)
+		}
+	}
+}
+
+func (s *Spreader) pullWhole(ctx context.Context, from figseam.InstanceID, first Update) {
+	objects := first.Page
+	last := first
+	for last.Next != nil {
+		next, err := s.peers.Pull(ctx, from, 0, last.Next)
+		if err != nil {
+			return
+		}
+		objects = append(objects, next.Page...)
+		last = next
+	}
+	if last.Version == first.Version {
+		s.store.Replace(first.Version, objects)
+		return
+	}
+	s.mend(ctx, from, first.Version, last.Version, objects)
+}
+
+// mend brings pages of versions first to last to one version at or above last.
+func (s *Spreader) mend(ctx context.Context, from figseam.InstanceID, first, last uint64, objects []Object) {
+	byID := make(map[figseam.ObjectID][]byte, len(objects))
+	for _, o := range objects {
+		byID[o.ID] = o.Body
+	}
+	for version := first; version < last; {
+		u, err := s.peers.Pull(ctx, from, version, nil)
+		if err != nil || len(u.Deltas) == 0 {
+			return
+		}
+		for _, d := range u.Deltas {
+			for _, o := range d.Upsert {
+				byID[o.ID] = o.Body
+			}
+			for _, id := range d.Delete {
+				delete(byID, id)
+			}
+			version = d.Version
+		}
+		last = max(last, version)
+	}
+	s.store.Replace(last, sortedObjects(byID))
+}
--- /dev/null
+++ b/replicator/grouping.go
@@ -0,0 +1,179 @@
+package replicator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/journaler"
+)
+
+const (
+	// maintainMillis is how often the group's membership is looked at.
+	maintainMillis = 300
+	// caughtUpEntries is how far a learner may be behind when it becomes a voter.
+	caughtUpEntries = 16
+)
+
+// maintainGroup founds or joins a group while the replica is fresh, and changes
+// the group's members while it leads.
+func (n *Node) maintainGroup(ctx context.Context) {
+	ticker := time.NewTicker(maintainMillis * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.mu.Lock()
+		outside := indexOf(n.group.Voters, n.self.Identity) < 0 && indexOf(n.group.Learners, n.self.Identity) < 0
+		leading := n.role == leader
+		n.mu.Unlock()
+		switch {
+		case leading:
+			n.changeGroup(ctx)
+		case outside:
+			n.findGroup(ctx)
+		}
+	}
+}
+
+// findGroup asks the voters' instances: if a group exists it asks to be taken
+// in; if all are fresh, the one with the lowest name founds the group.
+func (n *Node) findGroup(ctx context.Context) {
+	found := []Replica{n.self}
+	complete := true
+	for _, instance := range n.settings.Voters {
+		if instance == n.settings.Instance {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, requestMillis*time.Millisecond)
+		status, err := n.transport.Status(call, instance, StatusRequest{Group: n.settings.Group})
+		cancel()
+		switch {
+		case err != nil:
+			complete = false
+		case !status.Fresh:
+			n.join(ctx, instance, status)
+			return
+		default:
+			found = append(found, status.Self)
+		}
+	}
+	if complete && slices.Contains(n.settings.Voters, n.settings.Instance) && n.settings.Instance == slices.Min(n.settings.Voters) {
+		n.foundGroup(found)
+	}
+}
+
+func (n *Node) join(ctx context.Context, instance figseam.InstanceID, status StatusReply) {
+	if status.Leader.Instance != "" {
+		instance = status.Leader.Instance
+	}
+	if instance == n.settings.Instance {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, requestMillis*time.Millisecond)
+	defer cancel()
+	_, _ = n.transport.Join(call, instance, JoinRequest{Group: n.settings.Group, Replica: n.self})
+}
+
+// foundGroup writes the first entry. The others need not have it to vote: they
+// are named in it by the identities that they gave, and hold no vote yet.
+func (n *Node) foundGroup(voters []Replica) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.fresh() || n.broken != nil {
+		return
+	}
+	command, err := cbor.Marshal(Group{Voters: voters})
+	if err != nil {
+		return
+	}
+	e := journaler.Entry{Index: 1, Term: n.term, Kind: kindGroup, Command: command}
+	if err := n.journal.Append(0, []journaler.Entry{e}); err != nil {
+		n.fail(err)
+		return
+	}
+	n.entries = append(n.entries, e)
+	n.noteEntry(e)
+	n.log.Info().Int("voters", len(voters)).Msg("founded a group")
+}
+
+// HandleJoin takes a new replica in as a learner.
+func (n *Node) HandleJoin(ctx context.Context, r JoinRequest) JoinReply {
+	n.mu.Lock()
+	reply := JoinReply{Leader: n.leader.Instance}
+	known := indexOf(n.group.Voters, r.Replica.Identity) >= 0 || indexOf(n.group.Learners, r.Replica.Identity) >= 0
+	next, ok := n.group, n.mayChange() && r.Group == n.settings.Group
+	n.mu.Unlock()
+	if known || !ok {
+		reply.Accepted = known
+		return reply
+	}
+	next.Learners = slices.DeleteFunc(slices.Clone(next.Learners), func(o Replica) bool { return o.Instance == r.Replica.Instance })
+	next.Learners = append(next.Learners, r.Replica)
+	reply.Accepted = n.proposeGroup(ctx, next) == nil
+	return reply
+}
+
+// mayChange reports whether the group may be changed now: this replica leads,
+// an entry of its term is committed, and so is the last change.
+func (n *Node) mayChange() bool {
+	term, ok := n.termAt(n.commit)
+	return n.role == leader && n.broken == nil && ok && term == n.term && n.groupIndex <= n.commit
+}
+
+func (n *Node) proposeGroup(ctx context.Context, g Group) error {
+	body, err := cbor.Marshal(g)
+	if err != nil {
+		return err
+	}
+	n.log.Info().Interface("group", g).Msg("changing the group")
+	ctx, cancel := context.WithTimeout(ctx, electionMaxMillis*time.Millisecond)
+	defer cancel()
+	_, err = n.propose(ctx, newProposal(kindGroup, body))
+	return err
+}
+
+// changeGroup makes at most one change: a replaced voter is removed, or a
+// learner that has caught up becomes a voter.
+func (n *Node) changeGroup(ctx context.Context) {
+	n.mu.Lock()
+	next, changed := n.group, false
+	if n.mayChange() {
+		next, changed = n.nextGroup()
+	}
+	n.mu.Unlock()
+	if changed {
+		_ = n.proposeGroup(ctx, next)
+	}
+}
+
+// nextGroup returns the next group on the way to the wanted one. A voter is
+// replaced when its instance has another voter with a newer identity, which
+// stands behind it in the list.
+func (n *Node) nextGroup() (Group, bool) {
+	g := Group{Voters: slices.Clone(n.group.Voters), Learners: slices.Clone(n.group.Learners)}
+	for i, v := range g.Voters {
+		newer := slices.ContainsFunc(g.Voters[i+1:], func(o Replica) bool { return o.Instance == v.Instance })
+		if newer {
+			g.Voters = slices.Delete(g.Voters, i, i+1)
+			return g, true
+		}
+	}
+	for i, l := range g.Learners {
+		p := n.peers[l.Identity]
+		caughtUp := p != nil && p.match > 0 && p.match+caughtUpEntries >= n.lastIndex() &&
+			time.Since(p.answered) < electionMinMillis*time.Millisecond
+		if caughtUp && slices.Contains(n.settings.Voters, l.Instance) {
+			g.Learners = slices.Delete(g.Learners, i, i+1)
+			g.Voters = append(g.Voters, l)
+			return g, true
+		}
+	}
+	return g, false
+}
