figseamd, figctl, figload: thin path from caller to streamed answer

figload demo starts six instances in three data centres with stand-ins in one process, publishes, and serves both fleets.

--- /dev/null
+++ b/cmd/figload/launcher/launcher.go
@@ -0,0 +1,223 @@
+// Package launcher starts a whole deployment in one process: stand-ins and
+// instances with real sockets on loopback.
+package launcher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/cmd/figload/planner"
+	"github.com/figseam/figseam/emulator"
+	"github.com/figseam/figseam/gateway"
+	"github.com/figseam/figseam/loader"
+	"github.com/figseam/figseam/runner"
+)
+
+const (
+	// serviceMillis is how long a service stand-in takes for a call.
+	serviceMillis = 20
+	// readyPollMillis is the pause between two looks at readiness.
+	readyPollMillis = 20
+)
+
+// Deployment is a running set of stand-ins and instances.
+type Deployment struct {
+	Fleet     *emulator.Fleet
+	Users     []planner.User
+	Addresses map[figseam.EndpointID]string
+	Platform  string
+	Settings  []loader.Settings
+	instances map[figseam.InstanceID]*runner.Instance
+	folder    string
+	options   runner.Options
+	ctx       context.Context
+	stop      context.CancelFunc
+}
+
+// StandIns starts the stand-ins of users.
+func StandIns(users []planner.User) (d *Deployment, err error) {
+	defer func() { err = eris.Wrap(err, "start stand-ins") }()
+	ctx, stop := context.WithCancel(context.Background())
+	d = &Deployment{
+		Fleet: emulator.NewFleet(), Users: users, Addresses: map[figseam.EndpointID]string{},
+		instances: map[figseam.InstanceID]*runner.Instance{}, ctx: ctx, stop: stop,
+	}
+	for _, u := range users {
+		if err := d.startUser(u); err != nil {
+			return nil, err
+		}
+	}
+	d.Platform, err = d.Fleet.AddPlatform("")
+	return d, err
+}
+
+func (d *Deployment) startUser(u planner.User) error {
+	for _, dc := range u.DataCentres {
+		for _, e := range u.Engines()[dc] {
+			address, err := d.Fleet.AddEngine(e, "")
+			if err != nil {
+				return err
+			}
+			d.Addresses[e.Name] = address
+		}
+		name := u.ServiceName(dc)
+		address, err := d.Fleet.AddService(name, emulator.NewService(nil, serviceMillis), "")
+		if err != nil {
+			return err
+		}
+		d.Addresses[name] = address
+	}
+	return nil
+}
+
+// Start starts stand-ins and instances and publishes the users' configuration.
+func Start(users []planner.User, options runner.Options) (d *Deployment, err error) {
+	defer func() { err = eris.Wrap(err, "start deployment") }()
+	d, err = StandIns(users)
+	if err != nil {
+		return nil, err
+	}
+	d.options = options
+	d.folder, err = os.MkdirTemp("", "figseam-")
+	if err != nil {
+		return nil, err
+	}
+	d.Settings = planner.Instances(users[0].Region, users[0].DataCentres, d.Platform, d.dataFolder, FreeAddress)
+	for _, s := range d.Settings {
+		if err := d.StartInstance(s); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.Publish()
+}
+
+func (d *Deployment) dataFolder(id figseam.InstanceID) string {
+	return filepath.Join(d.folder, string(id))
+}
+
+// StartInstance starts one instance.
+func (d *Deployment) StartInstance(s loader.Settings) error {
+	i, err := runner.Start(d.ctx, s, d.options)
+	if err != nil {
+		return err
+	}
+	d.instances[s.Instance] = i
+	return nil
+}
+
+// Instance returns a running instance by name.
+func (d *Deployment) Instance(id figseam.InstanceID) *runner.Instance { return d.instances[id] }
+
+// Publish publishes the users' objects and waits until every instance is ready.
+func (d *Deployment) Publish() (err error) {
+	defer func() { err = eris.Wrap(err, "publish") }()
+	body := gateway.ChangeBody{Change: uuid.NewString(), Author: "figload"}
+	for _, u := range d.Users {
+		body.Objects = append(body.Objects, u.Objects(d.Addresses)...)
+	}
+	if err := PublishTo(d.Settings[0].Operators, body); err != nil {
+		return err
+	}
+	for _, s := range d.Settings {
+		if err := WaitReady(s.Callers); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PublishTo sends a change to an instance until it has an outcome.
+func PublishTo(operators string, body gateway.ChangeBody) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	var last string
+	for range 50 {
+		answer, err := http.Post("http://"+operators+"/v1/changes", "application/json", bytes.NewReader(text))
+		if err == nil {
+			reason, _ := io.ReadAll(answer.Body)
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = string(reason)
+			if answer.StatusCode == http.StatusUnprocessableEntity {
+				break
+			}
+		}
+		time.Sleep(readyPollMillis * 10 * time.Millisecond)
+	}
+	return fmt.Errorf("change was not applied: %s", last)
+}
+
+// WaitReady waits until an instance takes requests.
+func WaitReady(callers string) error {
+	for range 500 {
+		answer, err := http.Get("http://" + callers + "/readyz")
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusNoContent {
+				return nil
+			}
+		}
+		time.Sleep(readyPollMillis * time.Millisecond)
+	}
+	return fmt.Errorf("instance at %s did not become ready", callers)
+}
+
+// Callers returns the callers' addresses of all instances.
+func (d *Deployment) Callers() []string {
+	var all []string
+	for _, s := range d.Settings {
+		all = append(all, s.Callers)
+	}
+	return all
+}
+
+// Drain lets every instance leave in order and waits for the last.
+func (d *Deployment) Drain() {
+	for _, i := range d.instances {
+		i.Drain()
+	}
+	for id, i := range d.instances {
+		d.Fleet.SetLeaving(string(id))
+		<-i.Ended()
+	}
+	d.instances = nil
+	d.Close()
+}
+
+// Close ends instances and stand-ins at once and removes their files.
+func (d *Deployment) Close() {
+	d.stop()
+	for _, i := range d.instances {
+		<-i.Ended()
+	}
+	d.Fleet.Close()
+	if d.folder != "" {
+		_ = os.RemoveAll(d.folder)
+	}
+}
+
+// FreeAddress returns a loopback address that was free a moment ago.
+func FreeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- /dev/null
+++ b/cmd/figload/planner/planner.go
@@ -0,0 +1,192 @@
+// Package planner describes the deployments that the stand-ins play: the users'
+// data centres, engines, services, configuration objects and instances.
+package planner
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/emulator"
+	"github.com/figseam/figseam/loader"
+)
+
+// Fleet sizes and speeds. A decode engine's memory holds about twenty requests,
+// and a prefill of a middling prompt costs as much as some tens of output tokens.
+const (
+	enginePieces       = 48
+	pieceTokens        = 1000
+	engineSlots        = 20
+	prefillTokensPerS  = 9000
+	holdMillis         = 800
+	transferTokensPerS = 60_000
+	stepBaseMillis     = 9
+	stepPerRequest     = 0.5
+	cacheBlocks        = 2000
+	loadLagMillis      = 1000
+	instancesPerCentre = 2
+	prefillPerCentre   = 2
+	decodePerCentre    = 2
+)
+
+// User is one of the users' fleets.
+type User struct {
+	Name        string
+	Region      string
+	Pool        string
+	Model       string
+	Route       string
+	Patient     string
+	Service     string
+	DataCentres []figseam.DataCentre
+	// EarlyStart is the setting recommended for the user.
+	EarlyStart float64
+	// Writes are the paths of calls that must not be repeated.
+	Writes []string
+	// OutputTokens is the mean length of an answer.
+	OutputTokens int
+}
+
+// Users returns the users' fleets as the brief describes them.
+func Users() []User {
+	return []User{
+		{
+			Name: "pilhacasa", Region: "pt-norte", Pool: "lm-pool", Model: "lm", Route: "assistant", Patient: "manual-reader",
+			Service: "shop-api", DataCentres: []figseam.DataCentre{"norte-a", "norte-b", "norte-c"},
+			EarlyStart: 0, Writes: []string{"/orders", "/resets"}, OutputTokens: 90,
+		},
+		{
+			Name: "kantamanto", Region: "gh-south", Pool: "strand-reader", Model: "strand", Route: "knots", Patient: "archive",
+			Service: "crew-desk", DataCentres: []figseam.DataCentre{"accra-central", "tema-port", "kasoa-west"},
+			EarlyStart: 0.5, Writes: []string{"/repairs"}, OutputTokens: 60,
+		},
+	}
+}
+
+// Find returns a user by name.
+func Find(name string) (User, bool) {
+	for _, u := range Users() {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return User{}, false
+}
+
+// WithDataCentres returns a copy of the user that runs in other data centres.
+func (u User) WithDataCentres(centres []figseam.DataCentre) User {
+	u.DataCentres = centres
+	return u
+}
+
+// Engines returns the settings of the user's engines by data centre.
+func (u User) Engines() map[figseam.DataCentre][]emulator.EngineSettings {
+	all := map[figseam.DataCentre][]emulator.EngineSettings{}
+	for _, dc := range u.DataCentres {
+		for i := range prefillPerCentre {
+			all[dc] = append(all[dc], engine(u, dc, figseam.RolePrefill, i))
+		}
+		for i := range decodePerCentre {
+			all[dc] = append(all[dc], engine(u, dc, figseam.RoleDecode, i))
+		}
+	}
+	return all
+}
+
+func engine(u User, dc figseam.DataCentre, role figseam.Role, i int) emulator.EngineSettings {
+	return emulator.EngineSettings{
+		Name: figseam.EndpointID(fmt.Sprintf("%s-%s-%s-%d", u.Pool, dc, role, i+1)), Role: role,
+		Pieces: enginePieces, PieceTokens: pieceTokens, PrefillTokensPerSecond: prefillTokensPerS, HoldMillis: holdMillis,
+		TransferTokensPerSecond: transferTokensPerS, StepBaseMillis: stepBaseMillis,
+		StepPerRequestMillis: stepPerRequest, CacheBlocks: cacheBlocks, LoadLagMillis: loadLagMillis,
+	}
+}
+
+// ServiceName returns the name of the user's service endpoint in a data centre.
+func (u User) ServiceName(dc figseam.DataCentre) figseam.EndpointID {
+	return figseam.EndpointID(fmt.Sprintf("%s-%s", u.Service, dc))
+}
+
+// Objects returns the user's configuration objects. addresses holds the address
+// of every endpoint.
+func (u User) Objects(addresses map[figseam.EndpointID]string) []json.RawMessage {
+	objects := []json.RawMessage{
+		object(figseam.KindPool, figseam.Pool{
+			Name: u.Pool, PieceTokens: pieceTokens, EarlyStart: u.EarlyStart, HoldMillis: holdMillis,
+			PrefillTokensPerSecond: prefillTokensPerS, StepMillis: stepBaseMillis + engineSlots*stepPerRequest,
+			TransferTokensPerSecond: transferTokensPerS, Slots: engineSlots,
+		}),
+		object(figseam.KindModel, figseam.Model{
+			Name: u.Model, Pool: u.Pool, ExpectedOutputTokens: u.OutputTokens, MaxOutputTokens: 4000,
+		}),
+		object(figseam.KindService, figseam.Service{Name: u.Service, KeyCheck: figseam.KeyCheckNone, NotRunStatuses: []int{503}}),
+		object(figseam.KindRoute, figseam.Route{
+			Name: u.Route, Model: u.Model, FirstTokenMillis: 1300, BetweenTokensMillis: 25, Retries: 3,
+		}),
+		object(figseam.KindRoute, figseam.Route{Name: u.Patient, Model: u.Model, Patient: true, Retries: 3}),
+		object(figseam.KindRoute, figseam.Route{
+			Name: u.Service + "-reads", Service: u.Service, Idempotent: true, TimeoutMillis: 5000, Retries: 3,
+		}),
+	}
+	for _, path := range u.Writes {
+		objects = append(objects, object(figseam.KindRoute, figseam.Route{
+			Name: u.Service + path, Service: u.Service, Methods: []string{"POST"}, PathPrefix: path, TimeoutMillis: 5000,
+		}))
+	}
+	return append(objects, u.endpoints(addresses)...)
+}
+
+func (u User) endpoints(addresses map[figseam.EndpointID]string) []json.RawMessage {
+	var objects []json.RawMessage
+	for _, dc := range u.DataCentres {
+		for _, e := range u.Engines()[dc] {
+			objects = append(objects, object(figseam.KindEndpoint, figseam.Endpoint{
+				Name: e.Name, Pool: u.Pool, Address: addresses[e.Name], DataCentre: dc, Role: e.Role, Pieces: e.Pieces,
+			}))
+		}
+		name := u.ServiceName(dc)
+		objects = append(objects, object(figseam.KindEndpoint, figseam.Endpoint{
+			Name: name, Service: u.Service, Address: addresses[name], DataCentre: dc,
+		}))
+	}
+	return objects
+}
+
+// object renders a configuration object with its kind.
+func object(kind figseam.Kind, value any) json.RawMessage {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return json.RawMessage(fmt.Sprintf(`{"kind":%q,%s`, kind, text[1:]))
+}
+
+// Instances returns the settings of a deployment: two instances in each of three
+// data centres, the first of each with a disk and a vote. next gives a free port.
+func Instances(region string, centres []figseam.DataCentre, platform string, folder func(figseam.InstanceID) string, next func() string) []loader.Settings {
+	var all []loader.Settings
+	for _, dc := range centres {
+		for i := range instancesPerCentre {
+			s := loader.Settings{
+				Instance: figseam.InstanceID(fmt.Sprintf("%s-%d", dc, i+1)), DataCentre: dc, Region: region,
+				Callers: next(), Operators: next(), Peers: next(), Metrics: next(), Platform: platform,
+			}
+			if i == 0 {
+				s.DataFolder = folder(s.Instance)
+			}
+			all = append(all, s)
+		}
+	}
+	var voters []loader.Voter
+	var seeds []string
+	for _, s := range all {
+		if s.DataFolder != "" {
+			voters = append(voters, loader.Voter{Instance: s.Instance, Address: s.Peers})
+			seeds = append(seeds, s.Peers)
+		}
+	}
+	for i := range all {
+		all[i].Voters, all[i].Seeds = voters, seeds
+	}
+	return all
+}
--- a/config.go
+++ b/config.go
@@ -81,6 +81,9 @@
 type Service struct {
 	Name     string   `json:"name"`
 	KeyCheck KeyCheck `json:"key_check"`
+	// NotRunStatuses lists HTTP statuses by which the endpoints promise that a
+	// call did not run, for example 503.
+	NotRunStatuses []int `json:"not_run_statuses,omitempty"`
 }
 
 // Model is a model that a pool serves.
--- /dev/null
+++ b/dialer/call.go
@@ -0,0 +1,109 @@
+package dialer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/figseam/figseam"
+)
+
+// MaxCallBytes bounds the answer of a plain service that is held in memory.
+const MaxCallBytes = 8 << 20
+
+// ErrAnswerTooLarge means that a service's answer is over [MaxCallBytes].
+var ErrAnswerTooLarge = errors.New("service answer is too large")
+
+// Call is a call to a plain service.
+type Call struct {
+	Method string
+	// Path is the path behind the service's name, with the query.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// CallAnswer is the answer to a Call.
+type CallAnswer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Connection is an open connection to an endpoint over which nothing was sent.
+// It carries one call. The standard client is not used for calls that must not
+// be repeated, since it sends a request with an Idempotency-Key again by itself
+// when a connection that it kept breaks.
+type Connection struct {
+	conn    net.Conn
+	base    *url.URL
+	written atomic.Int64
+}
+
+// Connect opens a connection to an endpoint.
+func Connect(ctx context.Context, endpoint figseam.Endpoint) (c *Connection, err error) {
+	defer func() { err = eris.Wrapf(err, "connect to %s", endpoint.Name) }()
+	base, err := url.Parse(endpoint.Address)
+	if err != nil {
+		return nil, err
+	}
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", base.Host)
+	if err != nil {
+		return nil, err
+	}
+	return &Connection{conn: conn, base: base}, nil
+}
+
+// Close closes the connection.
+func (c *Connection) Close() error { return c.conn.Close() }
+
+// Sent reports whether any byte of the call may have reached the endpoint.
+func (c *Connection) Sent() bool { return c.written.Load() > 0 }
+
+// Write counts what is sent.
+func (c *Connection) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.conn.Write(p)
+}
+
+// Do sends the call and reads the whole answer.
+func (c *Connection) Do(ctx context.Context, call Call) (answer CallAnswer, err error) {
+	defer func() { err = eris.Wrap(err, "call service") }()
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	request, err := http.NewRequestWithContext(ctx, call.Method, c.base.String()+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return CallAnswer{}, err
+	}
+	request.Header = call.Header.Clone()
+	request.Close = true
+	if err := ctx.Err(); err != nil {
+		return CallAnswer{}, err
+	}
+	if err := request.Write(c); err != nil {
+		return CallAnswer{}, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c.conn), request)
+	if err != nil {
+		return CallAnswer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, MaxCallBytes+1))
+	if err != nil {
+		return CallAnswer{}, err
+	}
+	if len(body) > MaxCallBytes {
+		return CallAnswer{}, ErrAnswerTooLarge
+	}
+	return CallAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
--- a/engine.go
+++ b/engine.go
@@ -55,10 +55,10 @@
 
 // PrefillOrder asks for the KV cache of a prompt.
 type PrefillOrder struct {
-	Request  RequestID
-	Attempt  AttemptID
-	Model    string
-	Prompt   string
+	Request RequestID
+	Attempt AttemptID
+	Model   string
+	Prompt  string
 	// Answer is the text that the caller already has of the answer; the new
 	// attempt goes on behind it.
 	Answer   string
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -190,14 +190,14 @@
 	defer func() {
 		cancel()
 		_ = conn.CloseNow()
-		<-read
+		_ = <-read
 		p.fail(false)
 	}()
 	beats := make(chan error, 1)
 	go func() { beats <- beat(ctx, conn) }()
 	defer func() {
 		cancel()
-		<-beats
+		_ = <-beats
 	}()
 	if p.write(ctx, conn, first) != nil {
 		return
--- a/publisher/store.go
+++ b/publisher/store.go
@@ -200,3 +200,10 @@
 	}
 	return u
 }
+
+// History returns the latest changes that this instance has seen, oldest first.
+func (s *Store) History() []Delta {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.deltas)
+}
--- a/replicator/following.go
+++ b/replicator/following.go
@@ -39,7 +39,7 @@
 	return AppendReply{Term: n.term, OK: true, Match: match}
 }
 
-// follow recognizes the leader of the request's term. It reports false for a
+// follow recognises the leader of the request's term. It reports false for a
 // leader of an earlier term.
 func (n *Node) follow(h Header) bool {
 	if h.Term < n.term {
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -110,17 +110,17 @@
 	appliedGroup      Group
 	appliedGroupIndex uint64
 	commit            uint64
-	applied       uint64
-	contact       time.Time // of a live leader
-	electAt       time.Time
-	peers         map[string]*peer
-	pending       []*proposal
-	waiting       map[uint64]*proposal
-	lastLogMillis int64
-	lastAppend    time.Time
-	broken        error
-	base0         context.Context
-	tasks         sync.WaitGroup
+	applied           uint64
+	contact           time.Time // of a live leader
+	electAt           time.Time
+	peers             map[string]*peer
+	pending           []*proposal
+	waiting           map[uint64]*proposal
+	lastLogMillis     int64
+	lastAppend        time.Time
+	broken            error
+	base0             context.Context
+	tasks             sync.WaitGroup
 }
 
 // proposal is a command that somebody waits for.
--- /dev/null
+++ b/runner/instance.go
@@ -0,0 +1,412 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/admitter"
+	"github.com/figseam/figseam/canceller"
+	"github.com/figseam/figseam/deduplicator"
+	"github.com/figseam/figseam/detector"
+	"github.com/figseam/figseam/dialer"
+	"github.com/figseam/figseam/executor"
+	"github.com/figseam/figseam/forwarder"
+	"github.com/figseam/figseam/gateway"
+	"github.com/figseam/figseam/guesser"
+	"github.com/figseam/figseam/journaler"
+	"github.com/figseam/figseam/loader"
+	"github.com/figseam/figseam/messenger"
+	"github.com/figseam/figseam/meter"
+	"github.com/figseam/figseam/publisher"
+	"github.com/figseam/figseam/replicator"
+	"github.com/figseam/figseam/scheduler"
+	"github.com/figseam/figseam/watcher"
+)
+
+const (
+	// headerMillis bounds the reading of a request's headers.
+	headerMillis = 5000
+	// idleMillis is how long a caller's connection may be idle.
+	idleMillis = 120_000
+	// connectMillis bounds the opening of a connection to an engine.
+	connectMillis = 1000
+	// idleConnections is how many idle connections are kept per engine.
+	idleConnections = 64
+	// drainTickMillis is how often a draining instance looks whether it may end.
+	drainTickMillis = 50
+	// stopMillis bounds the end of tasks after the last request.
+	stopMillis = 3000
+)
+
+// Options change what an instance is joined from. The zero value is the product.
+type Options struct {
+	// Naive places by load reports alone, for comparisons.
+	Naive bool
+	// Log is where log lines go; nil discards them.
+	Log io.Writer
+	// Disk replaces the settings' data folder.
+	Disk journaler.Disk
+}
+
+// Instance is a running instance.
+type Instance struct {
+	settings  loader.Settings
+	log       zerolog.Logger
+	meter     *meter.Meter
+	members   *detector.Members
+	endpoints *detector.Endpoints
+	detector  *detector.Detector
+	messenger *messenger.Messenger
+	peers     *peers
+	store     *publisher.Store
+	spreader  *publisher.Spreader
+	node      *replicator.Node
+	claims    *deduplicator.Deduplicator
+	canceller *canceller.Canceller
+	host      *scheduler.Host
+	router    *scheduler.Router
+	guesser   *guesser.Guesser
+	admitter  *admitter.Admitter
+	watcher   *watcher.Watcher
+	callers   *gateway.Callers
+	operators *gateway.Operators
+	servers   []*http.Server
+	drainOnce sync.Once
+	draining  chan struct{}
+	ended     chan error
+}
+
+// Start opens the addresses and starts every task. The instance ends when ctx
+// ends, when it has drained, or when its disk fails.
+func Start(ctx context.Context, settings loader.Settings, options Options) (i *Instance, err error) {
+	defer func() { err = eris.Wrapf(err, "start instance %s", settings.Instance) }()
+	i = newInstance(settings, options)
+	if err := i.openLog(options); err != nil {
+		return nil, err
+	}
+	i.join(options)
+	listeners, err := listen(settings.Callers, settings.Operators, settings.Peers, settings.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	go i.run(ctx, listeners)
+	return i, nil
+}
+
+func newInstance(settings loader.Settings, options Options) *Instance {
+	settings = settings.WithDefaults()
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	out := options.Log
+	if out == nil {
+		out = io.Discard
+	}
+	i := &Instance{
+		settings: settings, meter: meter.New(), endpoints: detector.NewEndpoints(), store: publisher.NewStore(),
+		log:      zerolog.New(out).Level(level).With().Timestamp().Str("instance", string(settings.Instance)).Logger(),
+		draining: make(chan struct{}), ended: make(chan error, 1),
+	}
+	i.members = detector.NewMembers(figseam.Member{
+		ID: settings.Instance, DataCentre: settings.DataCentre, Address: settings.Peers,
+		Incarnation: uint64(time.Now().Unix()), Run: rand.Uint64(),
+	})
+	i.messenger = messenger.New(settings.Instance, nil, i.log)
+	i.peers = &peers{m: i.messenger, resolve: i.resolve}
+	return i
+}
+
+// resolve returns an instance's peer address.
+func (i *Instance) resolve(id figseam.InstanceID) string {
+	if m, ok := i.members.Find(id); ok && m.Address != "" {
+		return m.Address
+	}
+	for _, v := range i.settings.Voters {
+		if v.Instance == id {
+			return v.Address
+		}
+	}
+	return "unknown.invalid:1"
+}
+
+func (i *Instance) voters() []figseam.InstanceID {
+	names := make([]figseam.InstanceID, 0, len(i.settings.Voters))
+	for _, v := range i.settings.Voters {
+		names = append(names, v.Instance)
+	}
+	return names
+}
+
+// openLog opens the replicated log if the instance has a disk.
+func (i *Instance) openLog(options Options) error {
+	disk := options.Disk
+	if disk == nil && i.settings.DataFolder != "" {
+		folder, err := journaler.OpenFolder(i.settings.DataFolder)
+		if err != nil {
+			return err
+		}
+		disk = folder
+	}
+	if disk == nil {
+		return nil
+	}
+	machine := deduplicator.NewMachine()
+	machines := []figseam.StateMachine{publisher.NewMachine(i.store), machine}
+	settings := replicator.Settings{Instance: i.settings.Instance, Voters: i.voters()}
+	node, err := replicator.Open(settings, disk, transport{i.peers}, machines, i.log)
+	if err != nil {
+		return err
+	}
+	i.node = node
+	serveLog(i.messenger, node)
+	i.meter.Gauge("figseam_journal_bytes", "Length of the journal's segments.", func() float64 { return float64(node.JournalBytes()) })
+	return nil
+}
+
+// join makes the parts and connects them.
+func (i *Instance) join(options Options) {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectMillis * time.Millisecond}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+	}}
+	dial := dialer.New(client)
+	proposer := replicator.NewClient(i.node, transport{i.peers}, i.voters())
+	i.canceller = canceller.New(dial, i.gone, i.log)
+	i.host = scheduler.NewHost(i.members, i.endpoints, i.canceller, i.members.Dead)
+	i.router = scheduler.NewRouter(i.members, i.store.Config, i.host, i.peers)
+	i.guesser = guesser.New(i.store.Config, i.endpoints)
+	i.store.Watch(i.host.Configure)
+	i.store.Watch(func(c *figseam.Config) { i.members.SetVersion(c.Version) })
+	i.spreader = publisher.NewSpreader(i.store, i.members, i.peers)
+	i.detector = detector.New(i.members, i.peers, i.settings.Seeds, i.log)
+	i.admitter = admitter.New(i.members, i.store.Config, i.peers)
+	i.claims = deduplicator.New(holderName(i.members.Self()), proposer, i.holderLost)
+	i.watcher = watcher.New(client, i.settings.Platform, i.endpoints, dial, i.watched(options.Naive), i, i.log)
+	var placer figseam.Placer = i.router
+	if options.Naive {
+		placer = i.guesser
+	}
+	x := executor.New(placer, dial, i.canceller, i.store.Config, i.meter, i.log)
+	f := forwarder.New(i.settings.DataCentre, i.store.Config, i.endpoints, i.claims, i.log)
+	i.callers = gateway.NewCallers(x, f, i.admitter, i.meter, i.store.Config, i.settings.MaxBodyBytes, i.log)
+	i.operators = gateway.NewOperators(i.store, publisher.New(i.store, proposer), i, i.meter.Handler())
+	serveCells(i.messenger, i.host)
+	serveSpread(i.messenger, i.spreader, i.store, i.detector, i.admitter)
+	messenger.Handle(i.messenger, kindSpread, func(ctx context.Context, _ figseam.InstanceID, r spreadRequest) (spreadReply, error) {
+		if r.Local {
+			return spreadLocal(ctx, i.peers, i.members), nil
+		}
+		self := i.members.Self()
+		return spreadReply{Versions: []gateway.InstanceVersion{{Instance: self.ID, Version: self.Version}}}, nil
+	})
+	i.addGauges()
+}
+
+// holderName names one run of an instance as the holder of claims.
+func holderName(m figseam.Member) figseam.InstanceID {
+	return figseam.InstanceID(fmt.Sprintf("%s#%d", m.ID, m.Run))
+}
+
+// holderLost reports whether the run that made a claim is known to be over.
+func (i *Instance) holderLost(holder figseam.InstanceID) bool {
+	at := strings.LastIndexByte(string(holder), '#')
+	if at < 0 {
+		return false
+	}
+	run, err := strconv.ParseUint(string(holder[at+1:]), 10, 64)
+	return err == nil && i.members.Ended(holder[:at], run)
+}
+
+// gone reports whether no configuration names the endpoint any more.
+func (i *Instance) gone(e figseam.Endpoint) bool {
+	config := i.store.Config()
+	if config == nil {
+		return false
+	}
+	_, ok := config.Endpoints[e.Name]
+	return !ok
+}
+
+// watched returns the function that lists the engines to watch: those of the
+// cells that this instance owns, or all when it places by their reports alone.
+func (i *Instance) watched(all bool) func() []figseam.Endpoint {
+	return func() []figseam.Endpoint {
+		config := i.store.Config()
+		if config == nil {
+			return nil
+		}
+		if !all {
+			return i.host.Owned()
+		}
+		var found []figseam.Endpoint
+		for pool := range config.Pools {
+			found = append(found, config.PoolEndpoints(pool)...)
+		}
+		return found
+	}
+}
+
+// Observe implements watcher.Observer.
+func (i *Instance) Observe(e figseam.Endpoint, report figseam.LoadReport) {
+	i.host.Reconcile(e.Name, report)
+	i.guesser.Observe(e.Name, report)
+}
+
+// ObserveCache implements watcher.Observer.
+func (i *Instance) ObserveCache(e figseam.Endpoint, page figseam.CachePage) {
+	i.host.CacheEvents(e.Name, page)
+}
+
+func listen(addresses ...string) (listeners []net.Listener, err error) {
+	defer func() {
+		if err != nil {
+			for _, l := range listeners {
+				_ = l.Close()
+			}
+		}
+	}()
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return listeners, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// run works until the instance ends, then ends the tasks: first the callers'
+// side, then what serves it, and the messages last.
+func (i *Instance) run(ctx context.Context, listeners []net.Listener) {
+	tasks, stopTasks := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTasks()
+	peerMux := http.NewServeMux()
+	peerMux.Handle(messenger.Path, i.messenger.Handler())
+	for n, h := range []http.Handler{i.callers.Handler(), i.operators.Handler(), peerMux, i.meter.Handler()} {
+		i.serve(listeners[n], h)
+	}
+	var logEnded <-chan error
+	if i.node != nil {
+		logEnded = i.node.Run(tasks)
+	}
+	ends := []<-chan struct{}{
+		i.detector.Run(tasks), i.spreader.Run(tasks), i.canceller.Run(tasks), i.claims.Run(tasks),
+		i.host.Run(tasks), i.router.Run(tasks), i.watcher.Run(tasks),
+	}
+	i.log.Info().Str("callers", i.settings.Callers).Str("data_centre", string(i.settings.DataCentre)).Msg("started")
+	var err error
+	select {
+	case <-ctx.Done():
+	case <-i.draining:
+		i.drain(ctx)
+	case err = <-logEnded:
+		logEnded = nil
+	}
+	i.shutDown()
+	stopTasks()
+	for _, e := range ends {
+		<-e
+	}
+	if logEnded != nil {
+		err = errors.Join(err, <-logEnded)
+	}
+	i.messenger.Close()
+	i.log.Info().Err(err).Msg("ended")
+	i.ended <- err
+}
+
+func (i *Instance) serve(l net.Listener, h http.Handler) {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerMillis * time.Millisecond,
+		IdleTimeout:       idleMillis * time.Millisecond,
+	}
+	i.servers = append(i.servers, s)
+	go func() { _ = s.Serve(l) }()
+}
+
+// shutDown closes the servers, the callers' first.
+func (i *Instance) shutDown() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMillis*time.Millisecond)
+	defer cancel()
+	if i.isDraining() {
+		_ = i.servers[0].Shutdown(ctx)
+	}
+	for _, s := range i.servers {
+		_ = s.Close()
+	}
+}
+
+func (i *Instance) isDraining() bool {
+	select {
+	case <-i.draining:
+		return true
+	default:
+		return false
+	}
+}
+
+// Drain makes the instance leave: it says so at once, goes on serving until no
+// more requests come, finishes them, and ends. It does not block.
+func (i *Instance) Drain() {
+	i.drainOnce.Do(func() {
+		i.callers.Leave()
+		i.members.Leave()
+		i.host.Leave()
+		i.log.Info().Msg("leaving")
+		close(i.draining)
+	})
+}
+
+// drain waits until the platform knows and no request came for the quiet time,
+// then until all requests are done and their cancels are confirmed.
+func (i *Instance) drain(ctx context.Context) {
+	limit := figseam.DeadlineAfterMillis(i.settings.DrainMillis)
+	began := time.Now()
+	quiet := time.Duration(i.settings.QuietMillis) * time.Millisecond
+	ticker := time.NewTicker(drainTickMillis * time.Millisecond)
+	defer ticker.Stop()
+	for !limit.Passed() {
+		known := i.platformKnows()
+		if known && time.Since(began) >= quiet && i.callers.Quiet() >= quiet && i.callers.Active() == 0 && i.canceller.Pending() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// platformKnows reports whether the platform's list shows this instance as
+// leaving or not at all. Without a list the quiet time has to do.
+func (i *Instance) platformKnows() bool {
+	if i.settings.Platform == "" {
+		return true
+	}
+	for _, l := range i.watcher.List().Instances {
+		if l.Name == i.settings.Instance {
+			return l.State == watcher.StateLeaving
+		}
+	}
+	return true
+}
+
+// Ended yields the reason of the end once the instance has ended: nil or the
+// disk's error.
+func (i *Instance) Ended() <-chan error { return i.ended }
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -149,12 +150,29 @@
 			return figseam.Placement{}, ctx.Err()
 		}
 	}
-	if w.refusal != nil {
+	switch {
+	case w.moved:
+		return figseam.Placement{}, errMoved
+	case w.refusal != nil:
 		return figseam.Placement{}, w.refusal
 	}
 	return w.result, nil
 }
 
+// errMoved tells a job's holder to ask the cell's next owner.
+var errMoved = errors.New("cell has another owner")
+
+// HandOver sends the waiting jobs to the cell's next owner.
+func (c *Cell) HandOver() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.queue {
+		w.moved = true
+		close(w.done)
+	}
+	c.queue = nil
+}
+
 func (c *Cell) enqueue(job figseam.Job) (*waiter, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -328,7 +328,7 @@
 	return job.Retry == 0 || !slices.Contains(job.Avoid, id) || len(c.prefills)+len(c.decodes) <= 2
 }
 
-// Load summarizes a cell for choices between cells.
+// Load summarises a cell for choices between cells.
 type Load struct {
 	Waiting    int
 	FreePieces int
--- a/scheduler/engines.go
+++ b/scheduler/engines.go
@@ -25,7 +25,6 @@
 	endpoint figseam.Endpoint
 	// freeAt is when the jobs sent so far are predicted to end.
 	freeAt  time.Time
-	linkAt  time.Time
 	running int
 	// speed is in prompt tokens per second.
 	speed       float64
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -61,14 +61,66 @@
 				return
 			case <-ticker.C:
 			}
+			h.takeOwned()
 			for _, c := range h.owned() {
 				c.Expire(h.dead)
 			}
+			h.handOver()
 		}
 	}()
 	return done
 }
 
+// takeOwned makes the cells that this instance owns, so that what an earlier owner
+// left behind is found also when no job asks for them.
+func (h *Host) takeOwned() {
+	h.mu.Lock()
+	config := h.config
+	h.mu.Unlock()
+	if config == nil {
+		return
+	}
+	self, members := h.membership.Self(), h.membership.Members()
+	for pool := range config.Pools {
+		for id := range CellsOf(config, pool, self.DataCentre) {
+			if OwnerOf(id, members) == self.ID {
+				_, _ = h.cell(id)
+			}
+		}
+	}
+}
+
+// handOver sends the jobs that wait in cells of other owners there. A cell that
+// holds nothing any more is dropped.
+func (h *Host) handOver() {
+	members := h.membership.Members()
+	for _, c := range h.owned() {
+		if owner := OwnerOf(c.id, members); owner == "" || owner == c.owner {
+			continue
+		}
+		c.HandOver()
+		if c.Load().Grants == 0 {
+			h.drop(c.id)
+		}
+	}
+}
+
+// Leave hands every cell over at once.
+func (h *Host) Leave() {
+	for _, c := range h.owned() {
+		c.HandOver()
+	}
+}
+
+func (h *Host) drop(id figseam.CellID) {
+	h.mu.Lock()
+	c := h.cells[id]
+	delete(h.cells, id)
+	h.mu.Unlock()
+	c.stop()
+	<-c.done
+}
+
 func (h *Host) stopAll() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -146,23 +198,25 @@
 	return loads
 }
 
-// Owns reports whether this instance owns the cell that an engine belongs to,
-// and so has to watch the engine's load.
-func (h *Host) Owns(e figseam.Endpoint) bool {
+// Owned returns the engines of the cells that this instance owns: those whose
+// load it has to watch.
+func (h *Host) Owned() []figseam.Endpoint {
 	h.mu.Lock()
 	config := h.config
 	h.mu.Unlock()
-	if config == nil || e.Pool == "" {
-		return false
+	if config == nil {
+		return nil
 	}
-	for id, endpoints := range CellsOf(config, e.Pool, e.DataCentre) {
-		for _, o := range endpoints {
-			if o.Name == e.Name {
-				return OwnerOf(id, h.membership.Members()) == h.membership.Self().ID
+	self, members := h.membership.Self(), h.membership.Members()
+	var owned []figseam.Endpoint
+	for pool := range config.Pools {
+		for id, endpoints := range CellsOf(config, pool, self.DataCentre) {
+			if OwnerOf(id, members) == self.ID {
+				owned = append(owned, endpoints...)
 			}
 		}
 	}
-	return false
+	return owned
 }
 
 // Place asks a cell of this instance. See [figseam.Placer].
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -19,11 +19,11 @@
 	// due orders the queue. It is the first-token deadline, or for a patient job
 	// a fixed time after its arrival, so that waiting lets it rise.
 	due time.Time
-	// result is filled once, then done is closed.
+	// One of result, refusal and moved is set once, then done is closed.
 	result  figseam.Placement
 	refusal *figseam.Refusal
+	moved   bool
 	done    chan struct{}
-	at      int
 }
 
 func newWaiter(job figseam.Job, now time.Time) *waiter {
--- /dev/null
+++ b/version.go
@@ -0,0 +1,4 @@
+package figseam
+
+// Version is the version of the programs.
+const Version = "0.1.0"
