--- a/cmd/figload/launcher/launcher.go
+++ b/cmd/figload/launcher/launcher.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -188,28 +189,31 @@
 }
 
 // Drain lets every instance leave in order and waits for the last.
-func (d *Deployment) Drain() {
+func (d *Deployment) Drain() error {
+	var err error
 	for _, i := range d.instances {
 		i.Drain()
 	}
 	for id, i := range d.instances {
 		d.Fleet.SetLeaving(string(id))
-		<-i.Ended()
+		err = errors.Join(err, <-i.Ended())
 	}
 	d.instances = nil
-	d.Close()
+	return errors.Join(err, d.Close())
 }
 
 // Close ends instances and stand-ins at once and removes their files.
-func (d *Deployment) Close() {
+func (d *Deployment) Close() error {
+	var err error
 	d.stop()
 	for _, i := range d.instances {
-		<-i.Ended()
+		err = errors.Join(err, <-i.Ended())
 	}
 	d.Fleet.Close()
 	if d.folder != "" {
-		_ = os.RemoveAll(d.folder)
+		err = errors.Join(err, os.RemoveAll(d.folder))
 	}
+	return err
 }
 
 // FreeAddress returns a loopback address that was free a moment ago.
--- a/cmd/figload/presenter/presenter.go
+++ b/cmd/figload/presenter/presenter.go
@@ -57,7 +57,9 @@
 		stop()
 	}
 	s.say("\ndraining…")
-	d.Drain()
+	if err := d.Drain(); err != nil {
+		return err
+	}
 	s.say("every instance has left; %d pieces of engine memory held", d.Fleet.HeldPieces())
 	return nil
 }
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -185,20 +185,22 @@
 // either fails.
 func (p *peer) converse(ctx context.Context, conn *websocket.Conn, first frame) {
 	ctx, cancel := context.WithCancel(ctx)
-	read := make(chan error, 1)
-	go func() { read <- p.readReplies(ctx, conn) }()
+	read, beaten := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(read)
+		p.readReplies(ctx, conn)
+	}()
+	go func() {
+		defer close(beaten)
+		beat(ctx, conn)
+	}()
 	defer func() {
 		cancel()
 		_ = conn.CloseNow()
-		_ = <-read
+		<-read
+		<-beaten
 		p.fail(false)
 	}()
-	beats := make(chan error, 1)
-	go func() { beats <- beat(ctx, conn) }()
-	defer func() {
-		cancel()
-		_ = <-beats
-	}()
 	if p.write(ctx, conn, first) != nil {
 		return
 	}
@@ -206,11 +208,9 @@
 		select {
 		case <-ctx.Done():
 			return
-		case err := <-read:
-			read <- err
+		case <-read:
 			return
-		case err := <-beats:
-			beats <- err
+		case <-beaten:
 			return
 		case f := <-p.queue:
 			if p.write(ctx, conn, f) != nil {
@@ -235,11 +235,11 @@
 	return conn.Write(ctx, websocket.MessageBinary, data)
 }
 
-func (p *peer) readReplies(ctx context.Context, conn *websocket.Conn) error {
+func (p *peer) readReplies(ctx context.Context, conn *websocket.Conn) {
 	for {
 		f, _, err := readFrame(ctx, conn)
 		if err != nil {
-			return err
+			return
 		}
 		p.mu.Lock()
 		reply, ok := p.pending[f.ID]
@@ -252,20 +252,20 @@
 }
 
 // beat tries the connection at intervals and ends when an answer is late.
-func beat(ctx context.Context, conn *websocket.Conn) error {
+func beat(ctx context.Context, conn *websocket.Conn) {
 	ticker := time.NewTicker(heartbeatMillis * time.Millisecond)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-ticker.C:
 		}
 		ping, cancel := context.WithTimeout(ctx, pongMillis*time.Millisecond)
 		err := conn.Ping(ping)
 		cancel()
 		if err != nil {
-			return err
+			return
 		}
 	}
 }
