--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -180,7 +180,9 @@
 		return 0, err
 	}
 	j.segments = j.segments[:last]
-	return sizes[last-1], nil
+	// The removal must last: were the name to come back, a later torn tail would
+	// seem to be a hole before it.
+	return sizes[last-1], j.disk.SyncNames()
 }
 
 // checkGap holds that the entries follow the snapshot.
@@ -189,9 +191,6 @@
 		return &HoleError{File: j.segments[0], Detail: fmt.Sprintf(
 			"entries begin at %d, the snapshot ends at %d", c.Entries[0].Index, c.Snapshot.Index)}
 	}
-	for len(c.Entries) > 0 && c.Entries[0].Index <= c.Snapshot.Index {
-		c.Entries = c.Entries[1:]
-	}
 	return nil
 }
 
@@ -239,6 +238,12 @@
 		}
 	}
 	for _, e := range b.Entries {
+		// The snapshot covers what lies below it. There may be gaps, since the
+		// installation of a snapshot that lies ahead of all entries can be
+		// interrupted before its own segment begins.
+		if e.Index <= c.Snapshot.Index {
+			continue
+		}
 		if len(c.Entries) > 0 && e.Index != c.Entries[len(c.Entries)-1].Index+1 {
 			return &HoleError{File: name, Offset: int64(at), Detail: fmt.Sprintf("entry %d is out of order", e.Index)}
 		}
--- a/replicator/applying.go
+++ b/replicator/applying.go
@@ -90,7 +90,7 @@
 	n.applying.Lock()
 	defer n.applying.Unlock()
 	n.mu.Lock()
-	due := n.applied-n.snapshotIndex >= snapshotEntries
+	due := n.applied-n.snapshotIndex >= n.settings.SnapshotEntries
 	n.mu.Unlock()
 	if !due {
 		return nil
@@ -130,8 +130,8 @@
 		return err
 	}
 	n.snapshotIndex = index
-	if index > n.base+trailingEntries {
-		base := index - trailingEntries
+	if trailing := n.settings.SnapshotEntries / trailingShare; index > n.base+trailing {
+		base := index - trailing
 		n.baseTerm, _ = n.termAt(base)
 		n.entries = append([]journaler.Entry(nil), n.entries[base-n.base:]...)
 		n.base = base
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -23,10 +23,11 @@
 	// batchEntries and batchBytes bound one AppendRequest.
 	batchEntries = 256
 	batchBytes   = 1 << 20
-	// snapshotEntries is after how many entries a snapshot is taken,
-	// trailingEntries how many are kept behind it for slow peers.
-	snapshotEntries = 4096
-	trailingEntries = 512
+	// defaultSnapshotEntries is after how many entries a snapshot is taken.
+	defaultSnapshotEntries = 4096
+	// trailingShare is the part of them that is kept behind a snapshot for slow
+	// peers.
+	trailingShare = 8
 	// pendingCommands bounds the commands that wait for the next batch.
 	pendingCommands = 4096
 )
@@ -74,6 +75,9 @@
 	// Voters names the instances whose replicas are to vote. A new group is
 	// founded when all of them are there and none has any data.
 	Voters []figseam.InstanceID
+	// SnapshotEntries is after how many entries a snapshot is taken; 0 for the
+	// default.
+	SnapshotEntries uint64
 }
 
 // Node is one replica of the log. Its methods are safe for concurrent use.
@@ -143,6 +147,9 @@
 // Open reads the disk and returns a node that does nothing until Run.
 func Open(settings Settings, disk journaler.Disk, transport Transport, machines []figseam.StateMachine, log zerolog.Logger) (n *Node, err error) {
 	defer func() { err = eris.Wrap(err, "open replica") }()
+	if settings.SnapshotEntries == 0 {
+		settings.SnapshotEntries = defaultSnapshotEntries
+	}
 	journal, contents, err := journaler.Open(disk)
 	if err != nil {
 		return nil, err
