--- a/publisher/machine.go
+++ b/publisher/machine.go
@@ -135,7 +135,7 @@
 // firstKept is the lowest base whose changes are all remembered: had a change on
 // it been applied, it would be found.
 func (m *Machine) firstKept() uint64 {
-	return m.version - uint64(len(m.records))
+	return m.version - uint64(len(m.kept()))
 }
 
 func (m *Machine) apply(c Change, logMillis int64) {
@@ -151,19 +151,32 @@
 		Upserts: len(c.Upsert), Deletes: len(c.Delete),
 	})
 	m.byNumber[c.Number] = m.version
-	if len(m.records) > KeptChanges {
-		delete(m.byNumber, m.records[0].Number)
-		m.records = slices.Clone(m.records[1:])
-	}
+	m.forgetOldest()
 	m.follower.ApplyDelta(Delta{
 		Version: m.version, Number: c.Number, Author: c.Author, LogMillis: logMillis,
 		Upsert: c.Upsert, Delete: c.Delete,
 	})
 }
 
+// forgetOldest forgets the change that is one too many. The records are moved
+// only now and then, so that a change costs no copy of all of them.
+func (m *Machine) forgetOldest() {
+	if oldest := len(m.records) - KeptChanges - 1; oldest >= 0 {
+		delete(m.byNumber, m.records[oldest].Number)
+	}
+	if len(m.records) >= 2*KeptChanges {
+		m.records = slices.Clone(m.kept())
+	}
+}
+
+// kept returns the records that are still remembered.
+func (m *Machine) kept() []Record {
+	return m.records[max(0, len(m.records)-KeptChanges):]
+}
+
 // Snapshot implements [figseam.StateMachine].
 func (m *Machine) Snapshot() ([]byte, error) {
-	return cbor.Marshal(state{Version: m.version, Objects: sortedObjects(m.objects), Records: m.records})
+	return cbor.Marshal(state{Version: m.version, Objects: sortedObjects(m.objects), Records: m.kept()})
 }
 
 // Restore implements [figseam.StateMachine].
--- a/publisher/spreader.go
+++ b/publisher/spreader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/figseam/figseam"
@@ -11,10 +12,14 @@
 const (
 	// fanOut is to how many instances a new version is pushed.
 	fanOut = 3
+	// farEvery is how many comparisons there are to one with another data centre.
+	farEvery = 4
 	// pullMillis is how often an instance compares its version with a peer's.
 	pullMillis = 1000
-	// pullTimeoutMillis bounds one pull.
-	pullTimeoutMillis = 2000
+	// pullTimeoutMillis bounds the pull of deltas from one peer, wholeTimeoutMillis
+	// that of the whole set.
+	pullTimeoutMillis  = 500
+	wholeTimeoutMillis = 5000
 )
 
 // Peers carries updates between instances.
@@ -75,26 +80,43 @@
 // the end.
 func (s *Spreader) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.pushAll(ctx) })
+	tasks.Go(func() { s.pullAll(ctx) })
 	go func() {
 		defer close(done)
-		ticker := time.NewTicker(pullMillis * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case u := <-s.fresh:
-				s.push(u)
-			case from := <-s.behind:
-				s.pull(ctx, from)
-			case <-ticker.C:
-				s.compare(ctx)
-			}
-		}
+		tasks.Wait()
 	}()
 	return done
 }
 
+func (s *Spreader) pushAll(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case u := <-s.fresh:
+			s.push(u)
+		}
+	}
+}
+
+// pullAll is apart from pushAll, so that a silent peer holds up no push.
+func (s *Spreader) pullAll(ctx context.Context) {
+	ticker := time.NewTicker(pullMillis * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case from := <-s.behind:
+			s.pull(ctx, from)
+		case <-ticker.C:
+			s.compare(ctx)
+		}
+	}
+}
+
 // push sends an update to a few random instances of this data centre.
 func (s *Spreader) push(u Update) {
 	for _, m := range s.some(fanOut, true) {
@@ -102,20 +124,21 @@
 	}
 }
 
-// compare pulls from a member that is known to have a higher version, or else
-// from a random one; now and then from another data centre.
+// compare pulls from a random member, one with a higher version if any is known;
+// now and then it is one of another data centre.
 func (s *Spreader) compare(ctx context.Context) {
 	mine := s.store.Version()
+	var ahead []figseam.InstanceID
 	for _, m := range s.membership.Members() {
 		if m.Version > mine && m.Usable() && m.ID != s.membership.Self().ID {
-			s.pull(ctx, m.ID)
-			return
+			ahead = append(ahead, m.ID)
 		}
 	}
-	if mine > 0 && rand.IntN(4) != 0 {
+	if len(ahead) > 0 {
+		s.pull(ctx, ahead[rand.IntN(len(ahead))])
 		return
 	}
-	for _, m := range s.some(1, rand.IntN(2) == 0) {
+	for _, m := range s.some(1, rand.IntN(farEvery) != 0) {
 		s.pull(ctx, m.ID)
 	}
 }
@@ -145,15 +168,15 @@
 // of different versions; the deltas since the first page's version make them
 // one.
 func (s *Spreader) pull(ctx context.Context, from figseam.InstanceID) {
-	ctx, cancel := context.WithTimeout(ctx, pullTimeoutMillis*time.Millisecond)
+	whole, cancel := context.WithTimeout(ctx, wholeTimeoutMillis*time.Millisecond)
 	defer cancel()
-	for ctx.Err() == nil {
-		u, err := s.peers.Pull(ctx, from, s.store.Version(), nil)
+	for whole.Err() == nil {
+		u, err := s.ask(whole, from, s.store.Version(), nil)
 		if err != nil || u.Version <= s.store.Version() {
 			return
 		}
 		if u.Full {
-			s.pullWhole(ctx, from, u)
+			s.pullWhole(whole, from, u)
 			continue
 		}
 		if len(u.Deltas) == 0 {
@@ -165,11 +188,18 @@
 	}
 }
 
+// ask sends one question, which a silent peer leaves open only for a short time.
+func (s *Spreader) ask(ctx context.Context, from figseam.InstanceID, after uint64, cursor *figseam.ObjectID) (Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeoutMillis*time.Millisecond)
+	defer cancel()
+	return s.peers.Pull(ctx, from, after, cursor)
+}
+
 func (s *Spreader) pullWhole(ctx context.Context, from figseam.InstanceID, first Update) {
 	objects := first.Page
 	last := first
 	for last.Next != nil {
-		next, err := s.peers.Pull(ctx, from, 0, last.Next)
+		next, err := s.ask(ctx, from, 0, last.Next)
 		if err != nil {
 			return
 		}
@@ -190,7 +220,7 @@
 		byID[o.ID] = o.Body
 	}
 	for version := first; version < last; {
-		u, err := s.peers.Pull(ctx, from, version, nil)
+		u, err := s.ask(ctx, from, version, nil)
 		if err != nil || len(u.Deltas) == 0 {
 			return
 		}
