--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -59,6 +59,7 @@
 	ledger *ledger
 	stop   context.CancelFunc
 	ended  <-chan error
+	err    error
 }
 
 // group is a set of replicas joined by links that can be cut, that delay, double
@@ -66,6 +67,9 @@
 type group struct {
 	voters []figseam.InstanceID
 
+	// machines makes further state machines for each start of a replica.
+	machines func() []figseam.StateMachine
+
 	mu       sync.Mutex
 	replicas map[figseam.InstanceID]*replica
 	cut      map[[2]figseam.InstanceID]bool
@@ -88,8 +92,12 @@
 func (g *group) start(t require.TestingT, name figseam.InstanceID) {
 	r := g.replicas[name]
 	l := &ledger{}
+	machines := []figseam.StateMachine{l}
+	if g.machines != nil {
+		machines = append(machines, g.machines()...)
+	}
 	node, err := replicator.Open(replicator.Settings{Instance: name, Voters: g.voters, SnapshotEntries: 8}, r.disk, link{g, name},
-		[]figseam.StateMachine{l}, zerolog.Nop())
+		machines, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	g.mu.Lock()
@@ -115,7 +123,7 @@
 	g.mu.Unlock()
 	r.disk.FailAfter(0)
 	r.stop()
-	<-r.ended
+	r.err = <-r.ended
 	r.disk.Crash(g.random)
 }
 
@@ -123,7 +131,7 @@
 	for _, n := range g.voters {
 		if r := g.replicas[n]; r.node != nil {
 			r.stop()
-			<-r.ended
+			r.err = <-r.ended
 		}
 	}
 }
