scheduler: fuzz of cells; close dropped cells, do not spin while adopting

Found by TestHeldMemoryIsLiveRequests, seen failing first: - a new owner spun on its wake channel for the 600 ms in which it adopts grants; - a job that reached a cell between hand-over and drop waited forever; - with every instance of a data centre leaving, its cells had no owner.

--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -62,6 +62,7 @@
 	requests map[figseam.RequestID]*grant
 	promised []*grant
 	queue    jobQueue
+	closed   bool
 	// holdBackTo is until when a new owner gives no grants, while holders
 	// announce what they have.
 	holdBackTo time.Time
@@ -166,6 +167,18 @@
 func (c *Cell) HandOver() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sendOn()
+}
+
+// Close hands the cell over and sends on every job that still comes.
+func (c *Cell) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	c.sendOn()
+}
+
+func (c *Cell) sendOn() {
 	for _, w := range c.queue {
 		w.moved = true
 		close(w.done)
@@ -176,6 +189,9 @@
 func (c *Cell) enqueue(job figseam.Job) (*waiter, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errMoved
+	}
 	now := time.Now()
 	w := newWaiter(job, now)
 	if g, ok := c.requests[job.Request]; ok && g.stage == figseam.StageDecoding && !g.cancelled {
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -67,10 +67,15 @@
 func (c *Cell) dispatch() {
 	now := time.Now()
 	c.seatPromised(now)
-	if now.Before(c.holdBackTo) {
+	if !now.Before(c.holdBackTo) {
+		c.placeWaiting(now)
+	}
+	if len(c.queue) > 0 || len(c.promised) > 0 {
 		c.wakeLater()
-		return
 	}
+}
+
+func (c *Cell) placeWaiting(now time.Time) {
 	looked := 0
 	for i := 0; i < len(c.queue) && looked < dispatchDepth; looked++ {
 		w := c.queue[i]
@@ -84,9 +89,6 @@
 		}
 		c.queue = append(c.queue[:i], c.queue[i+1:]...)
 	}
-	if len(c.queue) > 0 || len(c.promised) > 0 {
-		c.wakeLater()
-	}
 }
 
 func (c *Cell) wakeLater() {
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -117,6 +117,7 @@
 	c := h.cells[id]
 	delete(h.cells, id)
 	h.mu.Unlock()
+	c.cell.Close()
 	c.stop()
 	<-c.done
 }
--- a/scheduler/topology.go
+++ b/scheduler/topology.go
@@ -45,17 +45,20 @@
 }
 
 // OwnerOf returns the instance that owns a cell: the usable member of the cell's
-// data centre with the highest rendezvous hash. It is empty when there is none.
+// data centre with the highest rendezvous hash. Where all are leaving, one of
+// them still serves. It is empty when there is none.
 func OwnerOf(cell figseam.CellID, members []figseam.Member) figseam.InstanceID {
 	var best figseam.InstanceID
 	var bestSum uint64
+	bestUsable := false
 	key := xxhash.Sum64String(cell.Pool+"\x00"+string(cell.DataCentre)) + uint64(cell.Index)
 	for _, m := range members {
-		if m.DataCentre != cell.DataCentre || !m.Usable() {
+		if m.DataCentre != cell.DataCentre || (bestUsable && !m.Usable()) {
 			continue
 		}
-		if sum := mix(string(m.ID), key); best == "" || sum > bestSum {
-			best, bestSum = m.ID, sum
+		sum := mix(string(m.ID), key)
+		if best == "" || sum > bestSum || (m.Usable() && !bestUsable) {
+			best, bestSum, bestUsable = m.ID, sum, m.Usable()
 		}
 	}
 	return best
