--- /dev/null
+++ b/cmd/figload/comparer/comparer.go
@@ -0,0 +1,269 @@
+// Package comparer runs the same arrivals against several policies and sums up
+// what became of them.
+package comparer
+
+import (
+	"context"
+	"io"
+	"math"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/cmd/figload/driver"
+	"github.com/figseam/figseam/cmd/figload/launcher"
+	"github.com/figseam/figseam/cmd/figload/planner"
+	"github.com/figseam/figseam/runner"
+)
+
+const (
+	// patienceMillis bounds one request.
+	patienceMillis = 60_000
+	// quietMillis is how long after the last request memory is looked at.
+	quietMillis = 8000
+	// warmMillis is the pause between a start and the load.
+	warmMillis = 1500
+)
+
+// Policies that can be compared.
+const (
+	PolicyNaive   = "naive"
+	PolicyFigseam = "figseam"
+)
+
+// Settings of a comparison.
+type Settings struct {
+	Scenario string
+	Loads    []float64
+	Policies []string
+	Seeds    []uint64
+	Faults   string
+	// LengthMillis is how long requests arrive in one run.
+	LengthMillis int64
+	// EarlyStart replaces the scenario's setting if it is not negative.
+	EarlyStart float64
+	Log        io.Writer
+}
+
+// Summary sums up one run.
+type Summary struct {
+	Policy             string  `json:"policy"`
+	Load               float64 `json:"load"`
+	Seed               uint64  `json:"seed"`
+	Faults             string  `json:"faults"`
+	EarlyStart         float64 `json:"early_start"`
+	Arrivals           int     `json:"arrivals"`
+	GoodputShare       float64 `json:"goodput_share"`
+	GoodputPerS        float64 `json:"goodput_per_s"`
+	BoundPerS          float64 `json:"bound_per_s"`
+	WastedPrefillShare float64 `json:"wasted_prefill_share"`
+	RefusedNotRun      int     `json:"refused_not_run"`
+	Failed             int     `json:"failed"`
+	Late               int     `json:"late"`
+	PatientDropped     int     `json:"patient_dropped"`
+	Duplicates         int     `json:"duplicates"`
+	WrongAnswers       int     `json:"wrong_answers"`
+	FalseNotRun        int     `json:"false_not_run"`
+	HeldPiecesAfter    int     `json:"held_pieces_after_quiet"`
+	FirstToken         Spread  `json:"ttft_ms"`
+	BetweenTokens      Spread  `json:"inter_token_ms"`
+	ProcessCores       float64 `json:"process_cores"`
+}
+
+// Spread is the distribution of a latency in milliseconds.
+type Spread struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// Report is the outcome of a comparison.
+type Report struct {
+	Scenario string       `json:"scenario"`
+	Bound    driver.Bound `json:"bound"`
+	Runs     []Summary    `json:"runs"`
+}
+
+// Run runs every policy on the same arrivals, alternating between them.
+func Run(ctx context.Context, s Settings) (report Report, err error) {
+	defer func() { err = eris.Wrap(err, "compare") }()
+	scenario, ok := driver.Scenarios()[s.Scenario]
+	if !ok {
+		return Report{}, eris.Errorf("scenario %q is not known", s.Scenario)
+	}
+	if _, ok := faults[s.Faults]; !ok {
+		return Report{}, eris.Errorf("faults %q are not known", s.Faults)
+	}
+	if s.EarlyStart >= 0 {
+		scenario.User.EarlyStart = s.EarlyStart
+	}
+	report = Report{Scenario: s.Scenario, Bound: scenario.Bound()}
+	for _, load := range s.Loads {
+		for _, seed := range s.Seeds {
+			for _, policy := range s.Policies {
+				sum, err := run(ctx, s, scenario, policy, load, seed)
+				if err != nil {
+					return report, err
+				}
+				report.Runs = append(report.Runs, sum)
+			}
+		}
+	}
+	return report, nil
+}
+
+func run(ctx context.Context, s Settings, scenario driver.Scenario, policy string, load float64, seed uint64) (Summary, error) {
+	d, err := launcher.Start([]planner.User{scenario.User}, runner.Options{Naive: policy == PolicyNaive, Log: s.Log})
+	if err != nil {
+		return Summary{}, err
+	}
+	defer func() { _ = d.Close() }()
+	time.Sleep(warmMillis * time.Millisecond)
+	length := time.Duration(s.LengthMillis) * time.Millisecond
+	fault := faults[s.Faults]
+	requests := scenario.Arrivals(seed, load, length, len(d.Settings), fault.cancels)
+	var tasks sync.WaitGroup
+	faultCtx, stopFaults := context.WithCancel(ctx)
+	tasks.Go(func() { fault.inject(faultCtx, d, seed, length) })
+	before, began := cpuSeconds(), time.Now()
+	load2 := driver.New(d.Callers, scenario.User.Service, patienceMillis*time.Millisecond)
+	results := load2.Run(ctx, requests)
+	cores := (cpuSeconds() - before) / time.Since(began).Seconds()
+	stopFaults()
+	tasks.Wait()
+	sum := Summary{
+		Policy: policy, Load: load, Seed: seed, Faults: s.Faults, EarlyStart: scenario.User.EarlyStart,
+		BoundPerS: scenario.Bound().PerSecond(), ProcessCores: round(cores),
+	}
+	sum.HeldPiecesAfter = quiet(d)
+	sum.count(results, length)
+	sum.waste(d, results)
+	sum.executions(d, scenario.User, results)
+	return sum, nil
+}
+
+// quiet waits until no memory is held, for a bounded time, and returns what is
+// held then.
+func quiet(d *launcher.Deployment) int {
+	deadline := figseam.DeadlineAfterMillis(quietMillis)
+	for !deadline.Passed() && d.Fleet.HeldPieces() > 0 {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return d.Fleet.HeldPieces()
+}
+
+func (s *Summary) count(results []driver.Result, length time.Duration) {
+	first := hdrhistogram.New(1, 120_000_000, 3)
+	between := hdrhistogram.New(1, 120_000_000, 3)
+	good, inTime, counted := 0, 0, 0
+	for _, r := range results {
+		if r.Wrong {
+			s.WrongAnswers++
+		}
+		if r.Request.Class.Route == "" || r.Gone {
+			continue
+		}
+		counted++
+		switch {
+		case r.Good():
+			good++
+			if r.EndedAt <= length {
+				inTime++
+			}
+		case r.Whole:
+			s.Late++
+		case r.Outcome == figseam.OutcomeNotRun:
+			s.RefusedNotRun++
+		default:
+			s.Failed++
+		}
+		if r.Request.Class.Patient && !r.Whole {
+			s.PatientDropped++
+		}
+		if r.FirstMillis > 0 && !r.Request.Class.Patient {
+			_ = first.RecordValue(int64(r.FirstMillis * 1000))
+		}
+		for _, g := range r.GapsMillis {
+			_ = between.RecordValue(int64(g * 1000))
+		}
+	}
+	s.Arrivals = counted
+	s.GoodputShare = round(float64(good) / float64(max(1, counted)))
+	// What ends after the last arrival is served by engines that nothing else
+	// asks for, so it does not count for the rate.
+	s.GoodputPerS = round(float64(inTime) / length.Seconds())
+	s.FirstToken, s.BetweenTokens = spread(first), spread(between)
+}
+
+func spread(h *hdrhistogram.Histogram) Spread {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	return Spread{P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// waste works out the share of computed prompt tokens that did not end in an
+// answer that its caller received. A caller who left early got nothing of use,
+// yet nobody could know; its first attempt is not counted as waste.
+func (s *Summary) waste(d *launcher.Deployment, results []driver.Result) {
+	received := map[figseam.RequestID]bool{}
+	left := map[figseam.RequestID]bool{}
+	for _, r := range results {
+		received[r.ID] = received[r.ID] || r.Whole
+		left[r.ID] = left[r.ID] || r.Gone
+	}
+	finished := map[figseam.AttemptID]bool{}
+	for _, e := range d.Fleet.Engines() {
+		for _, a := range e.Tally().Finished {
+			finished[a] = true
+		}
+	}
+	total, useful := 0, 0
+	for _, e := range d.Fleet.Engines() {
+		for _, w := range e.Tally().Prefills {
+			if left[w.Request] {
+				continue
+			}
+			total += w.Tokens
+			if received[w.Request] && finished[w.Attempt] {
+				useful += w.Tokens
+			}
+		}
+	}
+	s.WastedPrefillShare = round(float64(total-useful) / float64(max(1, total)))
+}
+
+// executions counts the calls that ran twice, and those refused as not run that
+// did run.
+func (s *Summary) executions(d *launcher.Deployment, u planner.User, results []driver.Result) {
+	count := map[string]int{}
+	for _, dc := range u.DataCentres {
+		for key, n := range d.Fleet.Service(u.ServiceName(dc)).Executions() {
+			count[key] += n
+		}
+	}
+	for _, r := range results {
+		if r.Request.Key == "" {
+			continue
+		}
+		if count[r.Request.Key] > 1 {
+			s.Duplicates++
+		}
+		if r.Outcome == figseam.OutcomeNotRun && count[r.Request.Key] > 0 {
+			s.FalseNotRun++
+		}
+	}
+}
+
+func round(v float64) float64 { return math.Round(v*10_000) / 10_000 }
+
+// cpuSeconds returns the processor time of this process so far.
+func cpuSeconds() float64 {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return float64(u.Utime.Nano()+u.Stime.Nano()) / float64(time.Second)
+}
--- /dev/null
+++ b/cmd/figload/driver/driver.go
@@ -0,0 +1,247 @@
+package driver
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/emulator"
+	"github.com/figseam/figseam/gateway"
+)
+
+// Targets of an interactive answer.
+const (
+	FirstTokenMillis    = 1300
+	BetweenTokensMillis = 25
+)
+
+// Result is what became of a request.
+type Result struct {
+	Request Request
+	ID      figseam.RequestID
+	// Whole is set when the answer came in full and right, Wrong when any of it
+	// was not right.
+	Whole bool
+	Wrong bool
+	// Gone is set when the caller left early, as it was to.
+	Gone bool
+	// Outcome and Reason are of a refusal; Failed is any other end.
+	Outcome figseam.Outcome
+	Reason  string
+	Failed  bool
+	// FirstMillis is the time to the first token, GapsMillis the times between
+	// tokens.
+	FirstMillis float64
+	GapsMillis  []float64
+	// EndedAt is when it ended, from the start of the load.
+	EndedAt time.Duration
+}
+
+// Good reports whether the answer came in full and within both targets. A
+// patient request has no targets.
+func (r Result) Good() bool {
+	if !r.Whole {
+		return false
+	}
+	if r.Request.Class.Patient {
+		return true
+	}
+	return r.FirstMillis <= FirstTokenMillis && r.meanGap() <= BetweenTokensMillis
+}
+
+func (r Result) meanGap() float64 {
+	if len(r.GapsMillis) == 0 {
+		return 0
+	}
+	sum := 0.0
+	for _, g := range r.GapsMillis {
+		sum += g
+	}
+	return sum / float64(len(r.GapsMillis))
+}
+
+// Driver sends requests to instances.
+type Driver struct {
+	client  *http.Client
+	callers func() []string
+	service string
+	// patience bounds one request.
+	patience time.Duration
+}
+
+// New returns a driver. callers returns the instances that the platform's
+// balancer would use now; service is the name of the plain service.
+func New(callers func() []string, service string, patience time.Duration) *Driver {
+	return &Driver{
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}},
+		callers: callers, service: service, patience: patience,
+	}
+}
+
+// Run sends every request at its time and waits for all results.
+func (d *Driver) Run(ctx context.Context, requests []Request) []Result {
+	results := make([]Result, len(requests))
+	var tasks sync.WaitGroup
+	began := time.Now()
+	for i, q := range requests {
+		time.Sleep(time.Until(began.Add(q.At)))
+		tasks.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, d.patience)
+			defer cancel()
+			results[i] = d.send(ctx, q)
+			results[i].EndedAt = time.Since(began)
+		})
+	}
+	tasks.Wait()
+	d.client.CloseIdleConnections()
+	return results
+}
+
+func (d *Driver) address(q Request) string {
+	callers := d.callers()
+	return "http://" + callers[q.Caller%len(callers)]
+}
+
+func (d *Driver) send(ctx context.Context, q Request) Result {
+	if q.Class.Route == "" {
+		return d.call(ctx, q)
+	}
+	body, err := json.Marshal(map[string]any{"model": q.Class.Route, "prompt": q.Prompt, "stream": true})
+	if err != nil {
+		return Result{Request: q, Failed: true}
+	}
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, d.address(q)+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return Result{Request: q, Failed: true}
+	}
+	began := time.Now()
+	answer, err := d.client.Do(request)
+	if err != nil {
+		return Result{Request: q, Failed: true}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return refused(q, answer)
+	}
+	return read(q, answer, began)
+}
+
+func refused(q Request, answer *http.Response) Result {
+	return Result{
+		Request: q, ID: figseam.RequestID(answer.Header.Get(gateway.HeaderRequest)),
+		Outcome: figseam.Outcome(answer.Header.Get(gateway.HeaderOutcome)),
+		Reason:  answer.Header.Get(gateway.HeaderReason),
+	}
+}
+
+// RetryMillis returns what a refusal says of when to retry, or 0.
+func RetryMillis(answer *http.Response) int64 {
+	n, err := strconv.ParseInt(answer.Header.Get("Retry-After-Ms"), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// event is what is read of a streamed chunk.
+type event struct {
+	Choices []struct {
+		Text   string  `json:"text"`
+		Finish *string `json:"finish_reason"`
+	} `json:"choices"`
+	Error *struct {
+		Code string `json:"code"`
+	} `json:"error"`
+}
+
+// read takes a streamed answer and compares it with the right one.
+func read(q Request, answer *http.Response, began time.Time) Result {
+	r := Result{Request: q, ID: figseam.RequestID(answer.Header.Get(gateway.HeaderRequest))}
+	right := emulator.Answer(q.Prompt, q.AnswerTokens)
+	tokens, last := 0, time.Time{}
+	done := false
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			break
+		}
+		var e event
+		if json.Unmarshal([]byte(data), &e) != nil || e.Error != nil || len(e.Choices) == 0 {
+			break
+		}
+		now := time.Now()
+		got := e.Choices[0].Text
+		n := len(got) / figseam.BytesPerToken
+		if !strings.HasPrefix(right[min(len(right), tokens*figseam.BytesPerToken):], got) {
+			r.Wrong = true
+		}
+		r.note(n, now, last, began)
+		if n > 0 {
+			last = now
+		}
+		tokens += n
+		if q.GoneAfter > 0 && tokens >= q.GoneAfter {
+			r.Gone = true
+			return r
+		}
+	}
+	r.Whole = done && tokens == q.AnswerTokens && !r.Wrong
+	r.Wrong = r.Wrong || (done && tokens != q.AnswerTokens)
+	r.Failed = !r.Whole && !r.Wrong
+	return r
+}
+
+func (r *Result) note(tokens int, now, last, began time.Time) {
+	if tokens == 0 {
+		return
+	}
+	if last.IsZero() {
+		r.FirstMillis = float64(now.Sub(began).Microseconds()) / 1000
+		return
+	}
+	gap := float64(now.Sub(last).Microseconds()) / 1000 / float64(tokens)
+	for range tokens {
+		r.GapsMillis = append(r.GapsMillis, gap)
+	}
+}
+
+// call makes a service call.
+func (d *Driver) call(ctx context.Context, q Request) Result {
+	method := http.MethodGet
+	if q.Class.Once {
+		method = http.MethodPost
+	}
+	request, err := http.NewRequestWithContext(ctx, method, d.address(q)+"/"+d.service+q.Class.Path, strings.NewReader(q.Key))
+	if err != nil {
+		return Result{Request: q, Failed: true}
+	}
+	if q.Key != "" {
+		request.Header.Set("Idempotency-Key", q.Key)
+	}
+	answer, err := d.client.Do(request)
+	if err != nil {
+		return Result{Request: q, Failed: true}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode != http.StatusOK {
+		return refused(q, answer)
+	}
+	text, err := io.ReadAll(answer.Body)
+	whole := err == nil && strings.Contains(string(text), q.Class.Path)
+	return Result{Request: q, Whole: whole, Failed: !whole}
+}
--- a/cmd/figload/launcher/launcher.go
+++ b/cmd/figload/launcher/launcher.go
@@ -9,10 +9,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -40,11 +42,21 @@
 	Addresses map[figseam.EndpointID]string
 	Platform  string
 	Settings  []loader.Settings
-	instances map[figseam.InstanceID]*runner.Instance
 	folder    string
 	options   runner.Options
 	ctx       context.Context
 	stop      context.CancelFunc
+
+	// mu guards everything below.
+	mu        sync.Mutex
+	instances map[figseam.InstanceID]*running
+}
+
+// running is an instance that was started.
+type running struct {
+	*runner.Instance
+	stop   context.CancelFunc
+	killed bool
 }
 
 // StandIns starts the stand-ins of users.
@@ -53,7 +65,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d = &Deployment{
 		Fleet: emulator.NewFleet(), Users: users, Addresses: map[figseam.EndpointID]string{},
-		instances: map[figseam.InstanceID]*runner.Instance{}, ctx: ctx, stop: stop,
+		instances: map[figseam.InstanceID]*running{}, ctx: ctx, stop: stop,
 	}
 	for _, u := range users {
 		if err := d.startUser(u); err != nil {
@@ -110,16 +122,52 @@
 
 // StartInstance starts one instance.
 func (d *Deployment) StartInstance(s loader.Settings) error {
-	i, err := runner.Start(d.ctx, s, d.options)
+	ctx, stop := context.WithCancel(d.ctx)
+	i, err := runner.Start(ctx, s, d.options)
 	if err != nil {
+		stop()
 		return err
 	}
-	d.instances[s.Instance] = i
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.instances[s.Instance] = &running{Instance: i, stop: stop}
+	return nil
+}
+
+// Kill ends an instance at once, without a word to anybody.
+func (d *Deployment) Kill(id figseam.InstanceID) {
+	d.mu.Lock()
+	i := d.instances[id]
+	i.killed = true
+	d.mu.Unlock()
+	i.stop()
+}
+
+// RestartKilled starts every killed instance again.
+func (d *Deployment) RestartKilled() error {
+	for _, s := range d.Settings {
+		d.mu.Lock()
+		i := d.instances[s.Instance]
+		d.mu.Unlock()
+		if !i.killed {
+			continue
+		}
+		if err := errors.Join(<-i.Ended(), d.StartInstance(s)); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
+// all returns the running instances by name.
+func (d *Deployment) all() map[figseam.InstanceID]*running {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.instances)
+}
+
 // Instance returns a running instance by name.
-func (d *Deployment) Instance(id figseam.InstanceID) *runner.Instance { return d.instances[id] }
+func (d *Deployment) Instance(id figseam.InstanceID) *runner.Instance { return d.all()[id].Instance }
 
 // Publish publishes the users' objects and waits until every instance is ready.
 func (d *Deployment) Publish() (err error) {
@@ -179,26 +227,32 @@
 	return fmt.Errorf("instance at %s did not become ready", callers)
 }
 
-// Callers returns the callers' addresses of all instances.
+// Callers returns the callers' addresses of the instances that are up.
 func (d *Deployment) Callers() []string {
-	var all []string
+	running := d.all()
+	var up []string
 	for _, s := range d.Settings {
-		all = append(all, s.Callers)
+		if i, ok := running[s.Instance]; ok && !i.killed {
+			up = append(up, s.Callers)
+		}
 	}
-	return all
+	return up
 }
 
 // Drain lets every instance leave in order and waits for the last.
 func (d *Deployment) Drain() error {
-	var err error
-	for _, i := range d.instances {
+	all := d.all()
+	for id, i := range all {
 		i.Drain()
-	}
-	for id, i := range d.instances {
 		d.Fleet.SetLeaving(string(id))
+	}
+	var err error
+	for _, i := range all {
 		err = errors.Join(err, <-i.Ended())
 	}
-	d.instances = nil
+	d.mu.Lock()
+	clear(d.instances)
+	d.mu.Unlock()
 	return errors.Join(err, d.Close())
 }
 
@@ -206,7 +260,7 @@
 func (d *Deployment) Close() error {
 	var err error
 	d.stop()
-	for _, i := range d.instances {
+	for _, i := range d.all() {
 		err = errors.Join(err, <-i.Ended())
 	}
 	d.Fleet.Close()
--- a/cmd/figload/main.go
+++ b/cmd/figload/main.go
@@ -27,6 +27,7 @@
 
 var commands = []command{
 	{"demo", "start a whole deployment in this process and show what it does", runDemo},
+	{"compare", "run the same load against several policies", runCompare},
 }
 
 func main() {
--- a/cmd/figload/planner/planner.go
+++ b/cmd/figload/planner/planner.go
@@ -14,9 +14,11 @@
 // Fleet sizes and speeds. A decode engine's memory holds about twenty requests,
 // and a prefill of a middling prompt costs as much as some tens of output tokens.
 const (
-	enginePieces       = 48
-	pieceTokens        = 1000
-	engineSlots        = 20
+	enginePieces = 48
+	pieceTokens  = 1000
+	// EngineSlots is how many requests a decode engine runs within the target for
+	// the time between tokens.
+	EngineSlots        = 20
 	prefillTokensPerS  = 9000
 	holdMillis         = 800
 	transferTokensPerS = 60_000
@@ -113,8 +115,8 @@
 	objects := []json.RawMessage{
 		object(figseam.KindPool, figseam.Pool{
 			Name: u.Pool, PieceTokens: pieceTokens, EarlyStart: u.EarlyStart, HoldMillis: holdMillis,
-			PrefillTokensPerSecond: prefillTokensPerS, StepMillis: stepBaseMillis + engineSlots*stepPerRequest,
-			TransferTokensPerSecond: transferTokensPerS, Slots: engineSlots,
+			PrefillTokensPerSecond: prefillTokensPerS, StepMillis: stepBaseMillis + EngineSlots*stepPerRequest,
+			TransferTokensPerSecond: transferTokensPerS, Slots: EngineSlots,
 		}),
 		object(figseam.KindModel, figseam.Model{
 			Name: u.Model, Pool: u.Pool, ExpectedOutputTokens: u.OutputTokens, MaxOutputTokens: 4000,
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -148,6 +148,12 @@
 	e.cache = newPrefixCache(e.settings.CacheBlocks)
 }
 
+// Name returns the engine's name.
+func (e *Engine) Name() figseam.EndpointID { return e.settings.Name }
+
+// Role returns the engine's role.
+func (e *Engine) Role() figseam.Role { return e.settings.Role }
+
 // Leave makes the engine refuse new work and finish what runs.
 func (e *Engine) Leave() {
 	e.mu.Lock()
--- a/executor/budget.go
+++ b/executor/budget.go
@@ -3,8 +3,8 @@
 import "sync"
 
 const (
-	// retryShare is how many retries an instance may add per request.
-	retryShare = 0.1
+	// RetryShare is how many retries an instance may add per request.
+	RetryShare = 0.1
 	// retryReserve is how many retries may be saved up; it lets a quiet instance
 	// retry at all.
 	retryReserve = 20
@@ -13,21 +13,23 @@
 // RetryBudget keeps retries to a share of the requests, so that a failing pool
 // is not loaded with its own retries. It is safe for concurrent use.
 type RetryBudget struct {
+	share float64
+
 	// mu guards saved.
 	mu    sync.Mutex
 	saved float64
 }
 
-// NewRetryBudget returns a full budget.
-func NewRetryBudget() *RetryBudget {
-	return &RetryBudget{saved: retryReserve}
+// NewRetryBudget returns a full budget that grows by share with each request.
+func NewRetryBudget(share float64) *RetryBudget {
+	return &RetryBudget{share: share, saved: retryReserve}
 }
 
 // Request notes a first attempt.
 func (b *RetryBudget) Request() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.saved = min(retryReserve, b.saved+retryShare)
+	b.saved = min(retryReserve, b.saved+b.share)
 }
 
 // Retry takes one retry out of the budget, if it has one.
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -37,10 +37,10 @@
 }
 
 // New returns an executor.
-func New(placer figseam.Placer, dialer figseam.Dialer, canceller Canceller, config func() *figseam.Config, observer Observer, log zerolog.Logger) *Executor {
+func New(placer figseam.Placer, dialer figseam.Dialer, canceller Canceller, config func() *figseam.Config, budget *RetryBudget, observer Observer, log zerolog.Logger) *Executor {
 	return &Executor{
 		placer: placer, dialer: dialer, canceller: canceller, config: config,
-		budget: NewRetryBudget(), observer: observer, log: log,
+		budget: budget, observer: observer, log: log,
 	}
 }
 
--- a/guesser/guesser.go
+++ b/guesser/guesser.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -83,11 +84,14 @@
 	return g.least(g.pools[p.Grant], figseam.RoleDecode, g.tried[p.Grant], fewest)
 }
 
-// least returns the live engine with the lowest load. The caller holds the mutex.
+// least returns the live engine with the lowest load, a random one of equals. The
+// caller holds the mutex.
 func (g *Guesser) least(pool string, role figseam.Role, avoid []figseam.EndpointID, load func(figseam.LoadReport) int) (figseam.Endpoint, bool) {
 	var best figseam.Endpoint
 	found := false
-	for _, e := range g.config().PoolEndpoints(pool) {
+	engines := g.config().PoolEndpoints(pool)
+	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
+	for _, e := range engines {
 		if e.Role != role || slices.Contains(avoid, e.Name) || g.states.State(e.Name) != figseam.EndpointLive {
 			continue
 		}
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -47,6 +47,8 @@
 	idleConnections = 64
 	// drainTickMillis is how often a draining instance looks whether it may end.
 	drainTickMillis = 50
+	// naiveRetryShare lets the naive baseline make every retry of its routes.
+	naiveRetryShare = 10
 	// stopMillis bounds the end of tasks after the last request.
 	stopMillis = 3000
 )
@@ -197,10 +199,11 @@
 	i.claims = deduplicator.New(holderName(i.members.Self()), proposer, i.holderLost)
 	i.watcher = watcher.New(client, i.settings.Platform, i.endpoints, dial, i.watched(options.Naive), i, i.log)
 	var placer figseam.Placer = i.router
+	budget := executor.NewRetryBudget(executor.RetryShare)
 	if options.Naive {
-		placer = i.guesser
+		placer, budget = i.guesser, executor.NewRetryBudget(naiveRetryShare)
 	}
-	x := executor.New(placer, dial, i.canceller, i.store.Config, i.meter, i.log)
+	x := executor.New(placer, dial, i.canceller, i.store.Config, budget, i.meter, i.log)
 	f := forwarder.New(i.settings.DataCentre, i.store.Config, i.endpoints, i.claims, i.log)
 	i.callers = gateway.NewCallers(x, f, i.admitter, i.meter, i.store.Config, i.settings.MaxBodyBytes, i.log)
 	i.operators = gateway.NewOperators(i.store, publisher.New(i.store, proposer), i, i.meter.Handler())
