scheduler, executor: accepted requests are not refused later; find the faulty side of a transfer

Changes: an owner that cannot be reached is passed over at once; the second failed engine blames the prefill side; suspensions double and are tried by one job; retries and patient jobs wait; links' rates are measured; callers come back with their key.

--- a/cmd/figload/comparer/comparer.go
+++ b/cmd/figload/comparer/comparer.go
@@ -25,6 +25,9 @@
 	patienceMillis = 60_000
 	// quietMillis is how long after the last request memory is looked at.
 	quietMillis = 8000
+	// fillMillis is how long the engines take to fill; answers before do not
+	// count for the rate.
+	fillMillis = 5000
 	// warmMillis is the pause between a start and the load.
 	warmMillis = 1500
 )
@@ -51,15 +54,18 @@
 
 // Summary sums up one run.
 type Summary struct {
-	Policy             string  `json:"policy"`
-	Load               float64 `json:"load"`
-	Seed               uint64  `json:"seed"`
-	Faults             string  `json:"faults"`
-	EarlyStart         float64 `json:"early_start"`
-	Arrivals           int     `json:"arrivals"`
-	GoodputShare       float64 `json:"goodput_share"`
-	GoodputPerS        float64 `json:"goodput_per_s"`
-	BoundPerS          float64 `json:"bound_per_s"`
+	Policy       string  `json:"policy"`
+	Load         float64 `json:"load"`
+	Seed         uint64  `json:"seed"`
+	Faults       string  `json:"faults"`
+	EarlyStart   float64 `json:"early_start"`
+	Arrivals     int     `json:"arrivals"`
+	GoodputShare float64 `json:"goodput_share"`
+	GoodputPerS  float64 `json:"goodput_per_s"`
+	BoundPerS    float64 `json:"bound_per_s"`
+	// AliveBoundPerS is the bound of the engines that are not at fault, on average
+	// over the run, for the callers who do not leave early.
+	AliveBoundPerS     float64 `json:"alive_bound_per_s"`
 	WastedPrefillShare float64 `json:"wasted_prefill_share"`
 	RefusedNotRun      int     `json:"refused_not_run"`
 	Failed             int     `json:"failed"`
@@ -72,6 +78,9 @@
 	FirstToken         Spread  `json:"ttft_ms"`
 	BetweenTokens      Spread  `json:"inter_token_ms"`
 	ProcessCores       float64 `json:"process_cores"`
+	// Reasons counts what ended without an answer: the reason code of a refusal
+	// and its outcome, or "broken" for a stream that broke off.
+	Reasons map[string]int `json:"reasons"`
 }
 
 // Spread is the distribution of a latency in milliseconds.
@@ -138,6 +147,7 @@
 	sum := Summary{
 		Policy: policy, Load: load, Seed: seed, Faults: s.Faults, EarlyStart: scenario.User.EarlyStart,
 		BoundPerS: scenario.Bound().PerSecond(), ProcessCores: round(cores),
+		AliveBoundPerS: round(scenario.Bound().PerSecond() * (1 - fault.cancels) * (1 - fault.lost)),
 	}
 	sum.HeldPiecesAfter = quiet(d)
 	sum.count(results, length)
@@ -157,9 +167,11 @@
 }
 
 func (s *Summary) count(results []driver.Result, length time.Duration) {
+	s.Reasons = map[string]int{}
 	first := hdrhistogram.New(1, 120_000_000, 3)
 	between := hdrhistogram.New(1, 120_000_000, 3)
 	good, inTime, counted := 0, 0, 0
+	warm := min(fillMillis*time.Millisecond, length/4)
 	for _, r := range results {
 		if r.Wrong {
 			s.WrongAnswers++
@@ -171,15 +183,20 @@
 		switch {
 		case r.Good():
 			good++
-			if r.EndedAt <= length {
+			if r.EndedAt > warm && r.EndedAt <= length {
 				inTime++
 			}
 		case r.Whole:
 			s.Late++
 		case r.Outcome == figseam.OutcomeNotRun:
 			s.RefusedNotRun++
+			s.Reasons[r.Reason]++
+		case r.Outcome != "":
+			s.Failed++
+			s.Reasons[r.Reason+" "+string(r.Outcome)]++
 		default:
 			s.Failed++
+			s.Reasons["broken"]++
 		}
 		if r.Request.Class.Patient && !r.Whole {
 			s.PatientDropped++
@@ -193,9 +210,9 @@
 	}
 	s.Arrivals = counted
 	s.GoodputShare = round(float64(good) / float64(max(1, counted)))
-	// What ends after the last arrival is served by engines that nothing else
-	// asks for, so it does not count for the rate.
-	s.GoodputPerS = round(float64(inTime) / length.Seconds())
+	// The rate is taken between the time when the engines have filled and the last
+	// arrival; what ends later is served by engines that nothing else asks for.
+	s.GoodputPerS = round(float64(inTime) / (length - warm).Seconds())
 	s.FirstToken, s.BetweenTokens = spread(first), spread(between)
 }
 
@@ -245,7 +262,7 @@
 		}
 	}
 	for _, r := range results {
-		if r.Request.Key == "" {
+		if !r.Request.Class.Once {
 			continue
 		}
 		if count[r.Request.Key] > 1 {
--- a/cmd/figload/comparer/faults.go
+++ b/cmd/figload/comparer/faults.go
@@ -17,7 +17,10 @@
 type faultPlan struct {
 	// cancels is the share of callers who leave early.
 	cancels float64
-	steps   []faultStep
+	// lost is the part of one role's engines that is at fault, on average over
+	// the run.
+	lost  float64
+	steps []faultStep
 }
 
 // faultStep is done at a share of the run's length.
@@ -30,15 +33,15 @@
 var faults = map[string]faultPlan{
 	"none":   {},
 	"cancel": {cancels: 0.2},
-	"engine-kill": {steps: []faultStep{
+	"engine-kill": {lost: (0.7 + 0.4) / 6, steps: []faultStep{
 		{0.3, onEngine(figseam.RoleDecode, emulator.Faults{Dead: true})},
 		{0.6, onEngine(figseam.RolePrefill, emulator.Faults{Dead: true})},
 	}},
-	"stalled-transfer": {steps: []faultStep{
+	"stalled-transfer": {lost: 0.2 / 6, steps: []faultStep{
 		{0.3, onEngine(figseam.RolePrefill, emulator.Faults{StallTransfers: true})},
 		{0.5, heal},
 	}},
-	"slow-link": {steps: []faultStep{
+	"slow-link": {lost: 0.6 / 6, steps: []faultStep{
 		{0.2, onEngine(figseam.RolePrefill, emulator.Faults{LinkSlowdown: 8})},
 		{0.8, heal},
 	}},
@@ -48,7 +51,7 @@
 		{0.3, killInstance},
 		{0.6, restartKilled},
 	}},
-	"mixed": {cancels: 0.1, steps: []faultStep{
+	"mixed": {cancels: 0.1, lost: (0.3 + 0.2 + 0.15) / 6, steps: []faultStep{
 		{0.15, onEngine(figseam.RolePrefill, emulator.Faults{LinkSlowdown: 6})},
 		{0.25, onEngine(figseam.RoleDecode, emulator.Faults{Dead: true})},
 		{0.35, killInstance},
--- a/cmd/figload/driver/driver.go
+++ b/cmd/figload/driver/driver.go
@@ -110,7 +110,22 @@
 	return "http://" + callers[q.Caller%len(callers)]
 }
 
+// resends is how often a caller whose connection broke comes back, with the same
+// key, through whichever instance the balancer gives it.
+const resends = 2
+
 func (d *Driver) send(ctx context.Context, q Request) Result {
+	began := time.Now()
+	for i := 0; ; i++ {
+		q.Caller += i
+		r := d.sendOnce(ctx, q, began)
+		if !r.Failed || i == resends || ctx.Err() != nil {
+			return r
+		}
+	}
+}
+
+func (d *Driver) sendOnce(ctx context.Context, q Request, began time.Time) Result {
 	if q.Class.Route == "" {
 		return d.call(ctx, q)
 	}
@@ -124,7 +139,7 @@
 	if err != nil {
 		return Result{Request: q, Failed: true}
 	}
-	began := time.Now()
+	request.Header.Set("Idempotency-Key", q.Key)
 	answer, err := d.client.Do(request)
 	if err != nil {
 		return Result{Request: q, Failed: true}
--- a/cmd/figload/driver/scenario.go
+++ b/cmd/figload/driver/scenario.go
@@ -56,7 +56,7 @@
 			{Name: "order", Share: 0.05, Path: "/orders", Once: true},
 		}},
 		"kantamanto": {User: kantamanto, Prefixes: 6, Burst: 0.4, Classes: []Class{
-			{Name: "photo", Share: 0.80, Route: kantamanto.Route, PrefixTokens: 512, OwnTokens: 800, AnswerTokens: 70},
+			{Name: "photo", Share: 0.80, Route: kantamanto.Route, PrefixTokens: 512, OwnTokens: 800, AnswerTokens: 100},
 			{Name: "archive", Share: 0.04, Route: kantamanto.Patient, Patient: true, PrefixTokens: 512, OwnTokens: 3000, AnswerTokens: 120},
 			{Name: "status", Share: 0.11, Path: "/status"},
 			{Name: "repair", Share: 0.05, Path: "/repairs", Once: true},
@@ -158,7 +158,7 @@
 func (s Scenario) request(r *rand.Rand, number int) Request {
 	c := s.pick(r)
 	q := Request{Number: number, Class: c}
-	if c.Once {
+	if c.Once || c.Route != "" {
 		q.Key = fmt.Sprintf("key-%d-%d", number, r.Uint64())
 	}
 	if c.Route == "" {
--- a/cmd/figload/launcher/launcher.go
+++ b/cmd/figload/launcher/launcher.go
@@ -136,11 +136,8 @@
 
 // Kill ends an instance at once, without a word to anybody.
 func (d *Deployment) Kill(id figseam.InstanceID) {
-	d.mu.Lock()
-	i := d.instances[id]
-	i.killed = true
-	d.mu.Unlock()
-	i.stop()
+	d.setKilled(id, true)
+	d.all()[id].stop()
 }
 
 // RestartKilled starts every killed instance again.
@@ -152,13 +149,29 @@
 		if !i.killed {
 			continue
 		}
-		if err := errors.Join(<-i.Ended(), d.StartInstance(s)); err != nil {
+		if err := errors.Join(<-i.Ended(), d.restart(s)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// restart starts an instance, which counts as up once it is ready.
+func (d *Deployment) restart(s loader.Settings) error {
+	if err := d.StartInstance(s); err != nil {
+		return err
+	}
+	d.setKilled(s.Instance, true)
+	defer d.setKilled(s.Instance, false)
+	return WaitReady(s.Callers)
+}
+
+func (d *Deployment) setKilled(id figseam.InstanceID, killed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.instances[id].killed = killed
+}
+
 // all returns the running instances by name.
 func (d *Deployment) all() map[figseam.InstanceID]*running {
 	d.mu.Lock()
@@ -231,6 +244,8 @@
 func (d *Deployment) Callers() []string {
 	running := d.all()
 	var up []string
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, s := range d.Settings {
 		if i, ok := running[s.Instance]; ok && !i.killed {
 			up = append(up, s.Callers)
--- a/cmd/figload/planner/planner.go
+++ b/cmd/figload/planner/planner.go
@@ -60,7 +60,7 @@
 		{
 			Name: "kantamanto", Region: "gh-south", Pool: "strand-reader", Model: "strand", Route: "knots", Patient: "archive",
 			Service: "crew-desk", DataCentres: []figseam.DataCentre{"accra-central", "tema-port", "kasoa-west"},
-			EarlyStart: 0.5, Writes: []string{"/repairs"}, OutputTokens: 60,
+			EarlyStart: 0.5, Writes: []string{"/repairs"}, OutputTokens: 100,
 		},
 	}
 }
--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -15,7 +15,8 @@
 	// shortestPrefillMillis is the least time that a prefill is given.
 	shortestPrefillMillis = 2000
 	// firstChunkMillis is how long the first chunk may take beyond the predicted
-	// transfer before the transfer counts as stalled.
+	// transfer before the transfer counts as stalled, if the result is not held
+	// for longer.
 	firstChunkMillis = 250
 	// stallMillis is how long a running stream may be silent.
 	stallMillis = 2000
@@ -61,6 +62,7 @@
 
 func (a *attempt) carryOut(ctx context.Context) error {
 	if a.placement.Resume != "" {
+		a.started = true
 		a.decoding = append(a.decoding, a.placement.Decode)
 		return a.read(ctx, nil)
 	}
@@ -100,15 +102,19 @@
 	return &errAttempt{suspect: suspect, cause: err}
 }
 
-// decode starts the answer, moving to another decode engine for as long as the
-// prefill result is held and no chunk has come.
+// movesPerAttempt is how many decode engines are tried with one prefill result.
+// When the second fails as well, the prefill engine or its link is at fault.
+const movesPerAttempt = 2
+
+// decode starts the answer, moving to another decode engine while the prefill
+// result is held and no chunk has come.
 func (a *attempt) decode(ctx context.Context) error {
 	seated := a.placement
 	var err error
 	if seated.Decode == "" {
 		seated, err = a.x.placer.Seat(ctx, seated, a.heldUntil)
 	}
-	for {
+	for moves := 1; ; moves++ {
 		if err != nil {
 			return a.failed(ctx, "", err)
 		}
@@ -116,10 +122,14 @@
 		a.decoding = append(a.decoding, seated.Decode)
 		stream, first, startErr := a.start(ctx, seated.Decode)
 		if startErr == nil {
+			a.blameFormer(moves)
 			return a.readFrom(ctx, stream, first)
 		}
+		if moves == movesPerAttempt {
+			return a.failed(ctx, a.placement.Prefill, startErr)
+		}
 		if ctx.Err() != nil || a.heldUntil.Passed() {
-			return a.failed(ctx, seated.Decode, startErr)
+			return a.failed(ctx, "", startErr)
 		}
 		a.x.log.Warn().Str("event", "transfer_moved").Str("request", string(a.task.Job.Request)).
 			Str("endpoint", string(seated.Decode)).Err(startErr).Send()
@@ -128,12 +138,32 @@
 	}
 }
 
-// start sends the decode order and waits for the first chunk for as long as the
-// transfer should take.
-func (a *attempt) start(ctx context.Context, decode figseam.EndpointID) (*watched, figseam.Chunk, error) {
+// blameFormer reports the decode engine that an attempt was moved away from, now
+// that another one took the same result.
+func (a *attempt) blameFormer(moves int) {
+	if moves > 1 {
+		a.report(figseam.StageDecoding, a.decoding[len(a.decoding)-2])
+	}
+}
+
+// firstChunkLimit is how long to wait for the first chunk. While the result is
+// held there is time for another engine, so the first one gets half of it; a
+// transfer that is only slow is not given up for nothing.
+func (a *attempt) firstChunkLimit() time.Duration {
 	pool := a.x.config().Pools[a.task.Job.Pool]
 	transfer := float64(a.task.Job.PromptTokens) / max(1, pool.TransferTokensPerSecond)
 	limit := firstChunkMillis*time.Millisecond + time.Duration(3*transfer*float64(time.Second))
+	held := time.Duration(a.heldUntil.RemainingMillis()) * time.Millisecond
+	if len(a.decoding) < movesPerAttempt {
+		return max(limit, held/2)
+	}
+	return limit + held
+}
+
+// start sends the decode order and waits for the first chunk for as long as the
+// transfer should take.
+func (a *attempt) start(ctx context.Context, decode figseam.EndpointID) (*watched, figseam.Chunk, error) {
+	limit := a.firstChunkLimit()
 	w := watch(ctx)
 	w.expect(limit)
 	stream, err := a.engine(decode).Decode(w.ctx, figseam.DecodeOrder{
--- a/executor/budget.go
+++ b/executor/budget.go
@@ -5,9 +5,9 @@
 const (
 	// RetryShare is how many retries an instance may add per request.
 	RetryShare = 0.1
-	// retryReserve is how many retries may be saved up; it lets a quiet instance
-	// retry at all.
-	retryReserve = 20
+	// retryReserve is how many retries may be saved up: enough for the streams of
+	// three engines that die one after another.
+	retryReserve = 60
 )
 
 // RetryBudget keeps retries to a share of the requests, so that a failing pool
--- a/membership.go
+++ b/membership.go
@@ -1,5 +1,11 @@
 package figseam
 
+import "errors"
+
+// ErrUnreachable means that a message was not delivered to an instance, since
+// there is no connection to it.
+var ErrUnreachable = errors.New("instance cannot be reached")
+
 // InstanceState is how an instance stands in the list of members.
 type InstanceState int
 
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -35,10 +35,6 @@
 // maxFrameBytes bounds one message.
 const maxFrameBytes = 4 << 20
 
-// ErrUnreachable means that a message was not delivered, since there is no
-// connection to the peer.
-var ErrUnreachable = errors.New("peer cannot be reached")
-
 // ErrLost means that the connection broke while a call was under way. The peer
 // may have acted on it.
 var ErrLost = errors.New("connection to peer was lost")
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -54,7 +54,7 @@
 	p.mu.Lock()
 	if p.down {
 		p.mu.Unlock()
-		return frame{}, ErrUnreachable
+		return frame{}, figseam.ErrUnreachable
 	}
 	p.next++
 	f.ID = p.next
@@ -62,7 +62,7 @@
 	p.mu.Unlock()
 	if !p.post(f) {
 		p.forget(f.ID)
-		return frame{}, ErrUnreachable
+		return frame{}, figseam.ErrUnreachable
 	}
 	select {
 	case r := <-reply:
@@ -70,7 +70,7 @@
 		case frameReply:
 			return r, nil
 		case frameCancel:
-			return frame{}, ErrUnreachable
+			return frame{}, figseam.ErrUnreachable
 		default:
 			return frame{}, ErrLost
 		}
--- a/placer.go
+++ b/placer.go
@@ -30,6 +30,16 @@
 // waits as long as it must and is never refused for load.
 func (j Job) Patient() bool { return j.FirstToken.IsZero() }
 
+// Refusable reports whether the job may still be refused for load or lateness. A
+// patient job never is, nor is one that was accepted and started before.
+func (j Job) Refusable() bool { return !j.Patient() && j.Retry == 0 }
+
+// WithoutAvoid returns a copy that may use every engine again.
+func (j Job) WithoutAvoid() Job {
+	j.Avoid = nil
+	return j
+}
+
 // WithAttempt returns a copy for the next attempt, which avoids the endpoints
 // that failed the earlier ones.
 func (j Job) WithAttempt(attempt AttemptID, avoid ...EndpointID) Job {
--- a/publisher/spreader.go
+++ b/publisher/spreader.go
@@ -16,6 +16,8 @@
 	farEvery = 4
 	// pullMillis is how often an instance compares its version with a peer's.
 	pullMillis = 1000
+	// firstPullMillis is the same while an instance has no version at all.
+	firstPullMillis = 100
 	// pullTimeoutMillis bounds the pull of deltas from one peer, wholeTimeoutMillis
 	// that of the whole set.
 	pullTimeoutMillis  = 500
@@ -103,9 +105,12 @@
 
 // pullAll is apart from pushAll, so that a silent peer holds up no push.
 func (s *Spreader) pullAll(ctx context.Context) {
-	ticker := time.NewTicker(pullMillis * time.Millisecond)
+	ticker := time.NewTicker(firstPullMillis * time.Millisecond)
 	defer ticker.Stop()
 	for {
+		if s.store.Version() > 0 {
+			ticker.Reset(pullMillis * time.Millisecond)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -128,23 +128,34 @@
 		Incarnation: uint64(time.Now().Unix()), Run: rand.Uint64(),
 	})
 	i.messenger = messenger.New(settings.Instance, nil, i.log)
-	i.peers = &peers{m: i.messenger, resolve: i.resolve}
+	i.peers = &peers{m: i.messenger, resolve: i.resolve, route: i.route}
 	return i
 }
 
-// resolve returns an instance's peer address.
+// resolve returns an instance's peer address. What the settings say of a voter
+// goes before what other instances say of it.
 func (i *Instance) resolve(id figseam.InstanceID) string {
-	if m, ok := i.members.Find(id); ok && m.Address != "" {
-		return m.Address
-	}
 	for _, v := range i.settings.Voters {
 		if v.Instance == id {
 			return v.Address
 		}
 	}
+	if m, ok := i.members.Find(id); ok && m.Address != "" {
+		return m.Address
+	}
 	return "unknown.invalid:1"
 }
 
+// route returns the address to use for an address that an instance gave.
+func (i *Instance) route(address string) string {
+	for _, m := range i.members.Members() {
+		if m.Address == address {
+			return i.resolve(m.ID)
+		}
+	}
+	return address
+}
+
 func (i *Instance) voters() []figseam.InstanceID {
 	names := make([]figseam.InstanceID, 0, len(i.settings.Voters))
 	for _, v := range i.settings.Voters {
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -42,6 +42,7 @@
 type peers struct {
 	m       *messenger.Messenger
 	resolve func(figseam.InstanceID) string
+	route   func(address string) string
 }
 
 type placeRequest struct {
@@ -121,7 +122,7 @@
 }
 
 func (p *peers) Probe(ctx context.Context, address string, probe detector.Probe) (detector.Answer, error) {
-	return messenger.Call[detector.Probe, detector.Answer](ctx, p.m, address, kindProbe, probe)
+	return messenger.Call[detector.Probe, detector.Answer](ctx, p.m, p.route(address), kindProbe, probe)
 }
 
 // transport is the replicated log's adapter to messages.
@@ -232,7 +233,7 @@
 	)
 	for _, h := range helpers {
 		tasks.Go(func() {
-			r, err := askSpread(ctx, p, h.Address, true)
+			r, err := askSpread(ctx, p, p.resolve(h.ID), true)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -261,7 +262,7 @@
 			continue
 		}
 		tasks.Go(func() {
-			r, err := askSpread(ctx, p, m.Address, false)
+			r, err := askSpread(ctx, p, p.resolve(m.ID), false)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -34,6 +34,8 @@
 	began   time.Time // start of the present stage
 	endsAt  time.Time // predicted end of the prefill, then of the answer
 	counted bool      // counted in prefill.running
+	// starting is set while the grant is counted in prefill.unproven.
+	starting bool
 	// seated is closed when decode is set for a promised grant.
 	seated chan struct{}
 	// leaseEnd is when the grant is given up unless its holder renews it.
@@ -108,7 +110,10 @@
 		p.endpoint = e
 		return p
 	}
-	return &prefillEngine{endpoint: e, speed: c.pool.PrefillTokensPerSecond, blocks: map[uint64]struct{}{}}
+	return &prefillEngine{
+		endpoint: e, speed: c.pool.PrefillTokensPerSecond, link: c.pool.TransferTokensPerSecond,
+		blocks: map[uint64]struct{}{},
+	}
 }
 
 func (c *Cell) decodeFor(e figseam.Endpoint) *decodeEngine {
@@ -194,7 +199,7 @@
 	}
 	now := time.Now()
 	w := newWaiter(job, now)
-	if g, ok := c.requests[job.Request]; ok && g.stage == figseam.StageDecoding && !g.cancelled {
+	if g, ok := c.requests[job.Request]; ok && c.resumable(g, job) {
 		w.place(c.takeOver(g, job))
 		return w, nil
 	}
@@ -218,6 +223,14 @@
 	return c.queue.remove(w)
 }
 
+// resumable reports whether a job's stream still runs and may be taken over. The
+// next attempt of a request that failed must not go back to its own old stream,
+// whose cancel may not be confirmed yet.
+func (c *Cell) resumable(g *grant, job figseam.Job) bool {
+	return job.Retry == 0 && g.stage == figseam.StageDecoding && !g.cancelled && g.decode != nil &&
+		c.states.State(g.decode.endpoint.Name) != figseam.EndpointDown
+}
+
 // takeOver hands a running stream to a caller who came back through another
 // instance, in place of a second prefill.
 func (c *Cell) takeOver(g *grant, job figseam.Job) figseam.Placement {
@@ -266,9 +279,9 @@
 }
 
 // unseat takes a job off a decode engine that failed it and promises it another.
+// Whether that engine or the prefill engine is at fault shows only later.
 func (c *Cell) unseat(g *grant) {
 	g.decode.ledger.Free(g.id)
-	g.decode.suspendedTo = time.Now().Add(suspendMillis * time.Millisecond)
 	g.job.Avoid = append(slices.Clone(g.job.Avoid), g.decode.endpoint.Name)
 	g.decode = nil
 	g.seated = make(chan struct{})
@@ -293,12 +306,11 @@
 }
 
 func (c *Cell) suspect(id figseam.EndpointID, now time.Time) {
-	until := now.Add(suspendMillis * time.Millisecond)
 	if p := c.findPrefill(id); p != nil {
-		p.suspendedTo = until
+		p.fail(now)
 	}
 	if d := c.findDecode(id); d != nil {
-		d.suspendedTo = until
+		d.fail(now)
 	}
 }
 
@@ -306,12 +318,23 @@
 	if g.stage == figseam.StagePrefilling {
 		c.endPrefill(g, stage, now)
 	}
+	if stage >= figseam.StageDecoding {
+		g.prove()
+	}
+	began := g.began
 	g.stage, g.began = stage, now
 	switch stage {
 	case figseam.StagePrefilled:
 		g.endsAt = now.Add(c.answerTime(g.job))
 	case figseam.StageDecoding:
 		g.endsAt = now.Add(c.answerTime(g.job))
+		if g.prefill != nil {
+			g.prefill.succeed()
+			g.prefill.observeLink(g.job.PromptTokens, now.Sub(began))
+		}
+		if g.decode != nil {
+			g.decode.succeed()
+		}
 	case figseam.StageEnded:
 		c.free(g)
 	}
@@ -338,8 +361,17 @@
 	return millis(float64(job.OutputTokens) * c.pool.StepMillis)
 }
 
+// prove ends the wait for the job's answer to begin.
+func (g *grant) prove() {
+	if g.starting && g.prefill != nil {
+		g.starting = false
+		g.prefill.unproven--
+	}
+}
+
 // free gives back everything that a grant holds.
 func (c *Cell) free(g *grant) {
+	g.prove()
 	if g.decode != nil {
 		g.decode.ledger.Free(g.id)
 	}
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -502,8 +502,8 @@
 		job := b.job("h0", 500, 50, figseam.DeadlineAfterMillis(1300))
 		b.submit(job, 50)
 		time.Sleep(200 * time.Millisecond)
-		again := job.WithAttempt("other")
-		again.Holder = "h1"
+		again := job
+		again.Attempt, again.Holder = "other", "h1"
 		p, err := b.owner().Place(context.Background(), again)
 		require.NoError(t, err)
 		require.Equal(t, job.Attempt, p.Resume)
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -120,7 +120,7 @@
 func (c *Cell) tryPlace(w *waiter, now time.Time) (settled, blocked bool) {
 	prefills := c.livePrefills(w.job, now)
 	if len(prefills) == 0 || len(c.liveDecodes(w.job, now)) == 0 {
-		if !w.job.Patient() && w.due.Before(now) {
+		if w.job.Refusable() && w.due.Before(now) {
 			w.refuse(figseam.Refuse(explainer.NoEngine, "no engine took work before the first token was due"))
 			return true, false
 		}
@@ -128,7 +128,7 @@
 	}
 	p, scores := c.quickest(prefills, w.job, now)
 	end := p.endIfStarted(w.job, now)
-	if first := end.Add(c.afterPrefill(w.job)); !w.job.Patient() && first.After(w.job.FirstToken.Time()) {
+	if first := end.Add(c.afterPrefill(w.job, p)); w.job.Refusable() && first.After(w.job.FirstToken.Time()) {
 		w.refuse(c.lateRefusal(w.job, first))
 		return true, false
 	}
@@ -153,12 +153,13 @@
 func (c *Cell) start(job figseam.Job, p *prefillEngine, d *decodeEngine, pieces int, now time.Time) *grant {
 	g := &grant{
 		id: newGrantID(), job: job, prefill: p, decode: d, pieces: pieces,
-		stage: figseam.StagePrefilling, began: later(p.freeAt, now), counted: true,
+		stage: figseam.StagePrefilling, began: later(p.freeAt, now), counted: true, starting: true,
 		seated: make(chan struct{}), leaseEnd: figseam.DeadlineAfterMillis(leaseMillis),
 	}
 	p.freeAt = p.endIfStarted(job, now)
 	p.running++
-	g.endsAt = p.freeAt.Add(c.afterPrefill(job) + c.answerTime(job))
+	p.unproven++
+	g.endsAt = p.freeAt.Add(c.afterPrefill(job, p) + c.answerTime(job))
 	if d != nil {
 		d.ledger.Take(g.id, pieces)
 		close(g.seated)
@@ -178,17 +179,18 @@
 
 // afterPrefill is the predicted time from the end of a prefill to the first
 // token: the transfer and one step.
-func (c *Cell) afterPrefill(job figseam.Job) time.Duration {
-	return seconds(float64(job.PromptTokens)/c.pool.TransferTokensPerSecond) + millis(c.pool.StepMillis)
+func (c *Cell) afterPrefill(job figseam.Job, p *prefillEngine) time.Duration {
+	return p.transfer(job) + millis(c.pool.StepMillis)
 }
 
-// quickest returns the engine on which the job's prefill would end first.
+// quickest returns the engine from which a decode engine would have the job's
+// prompt first.
 func (c *Cell) quickest(prefills []*prefillEngine, job figseam.Job, now time.Time) (*prefillEngine, []figseam.Score) {
 	best := prefills[0]
-	bestEnd := best.endIfStarted(job, now)
+	bestEnd := best.readyIfStarted(job, now)
 	scores := make([]figseam.Score, 0, maxScores)
 	for _, p := range prefills {
-		end := p.endIfStarted(job, now)
+		end := p.readyIfStarted(job, now)
 		if len(scores) < maxScores {
 			scores = append(scores, figseam.Score{Endpoint: p.endpoint.Name, Millis: float64(end.Sub(now).Microseconds()) / 1000})
 		}
@@ -254,7 +256,7 @@
 // refuseLate predicts a new job's first token and refuses the job when it would
 // come too late. The caller holds the mutex.
 func (c *Cell) refuseLate(job figseam.Job, due, now time.Time) *figseam.Refusal {
-	if job.Patient() {
+	if !job.Refusable() {
 		return nil
 	}
 	ahead := c.queue.position(due)
@@ -292,7 +294,7 @@
 	if n := ahead + len(c.promised) - c.freeSlots(job, now); n >= 0 {
 		seat = c.release(n)
 	}
-	return later(end, seat).Add(c.afterPrefill(job) + lateMarginMillis*time.Millisecond)
+	return later(end, seat).Add(c.afterPrefill(job, best) + lateMarginMillis*time.Millisecond)
 }
 
 func (c *Cell) freeSlots(job figseam.Job, now time.Time) int {
@@ -306,7 +308,7 @@
 func (c *Cell) livePrefills(job figseam.Job, now time.Time) []*prefillEngine {
 	live := make([]*prefillEngine, 0, len(c.prefills))
 	for _, p := range c.prefills {
-		if c.takesWork(p.endpoint.Name, p.suspendedTo, job, now) {
+		if c.takesWork(p.endpoint.Name, p.suspendedTo, job, now) && !p.onTrial() {
 			live = append(live, p)
 		}
 	}
@@ -327,7 +329,7 @@
 	if now.Before(suspendedTo) || c.states.State(id) != figseam.EndpointLive {
 		return false
 	}
-	return job.Retry == 0 || !slices.Contains(job.Avoid, id) || len(c.prefills)+len(c.decodes) <= 2
+	return !slices.Contains(job.Avoid, id) || len(c.prefills)+len(c.decodes) <= 2
 }
 
 // Load summarises a cell for choices between cells.
--- a/scheduler/engines.go
+++ b/scheduler/engines.go
@@ -11,10 +11,14 @@
 	// startAheadMillis is how long before a prefill engine falls idle its next
 	// job is sent, so that the engine does not wait for the message.
 	startAheadMillis = 25
-	// suspendMillis is how long an engine that failed a job gets no new one.
-	suspendMillis = 1000
+	// suspendMillis is how long an engine that failed a job gets no new one. The
+	// time doubles with each failure in a row up to longestSuspendMillis.
+	suspendMillis        = 1000
+	longestSuspendMillis = 16_000
 	// speedGain is the weight of a new measurement in an engine's mean speed.
 	speedGain = 0.1
+	// linkGain is the same for a link's mean rate.
+	linkGain = 0.2
 	// maxKnownBlocks bounds the prefix blocks remembered per engine.
 	maxKnownBlocks = 8192
 )
@@ -26,10 +30,13 @@
 	// freeAt is when the jobs sent so far are predicted to end.
 	freeAt  time.Time
 	running int
-	// speed is in prompt tokens per second.
-	speed       float64
-	blocks      map[uint64]struct{}
-	suspendedTo time.Time
+	// unproven counts the jobs whose answer has not begun yet.
+	unproven int
+	// speed is in prompt tokens per second, link in transferred tokens per second.
+	speed  float64
+	link   float64
+	blocks map[uint64]struct{}
+	suspension
 }
 
 // cached returns how many leading tokens of the job the engine is believed to
@@ -55,6 +62,10 @@
 	}
 }
 
+// onTrial reports whether the engine failed a job, and the one job that tries it
+// again is still under way.
+func (p *prefillEngine) onTrial() bool { return p.failures > 0 && p.unproven > 0 }
+
 // work returns the predicted length of the job's prefill.
 func (p *prefillEngine) work(job figseam.Job) time.Duration {
 	return seconds(float64(job.PromptTokens-p.cached(job)) / p.speed)
@@ -83,14 +94,55 @@
 	p.speed += speedGain * (measured - p.speed)
 }
 
+// observeLink corrects the link's mean rate by one measured transfer, which
+// includes the wait for others on the same link.
+func (p *prefillEngine) observeLink(tokens int, took time.Duration) {
+	if tokens < figseam.PrefixBlockTokens || took <= 0 {
+		return
+	}
+	measured := float64(tokens) / took.Seconds()
+	p.link += linkGain * (measured - p.link)
+}
+
+// transfer returns the predicted length of the job's transfer.
+func (p *prefillEngine) transfer(job figseam.Job) time.Duration {
+	return seconds(float64(job.PromptTokens) / p.link)
+}
+
+// readyIfStarted returns when a decode engine would have the job's prompt if its
+// prefill were sent now.
+func (p *prefillEngine) readyIfStarted(job figseam.Job, now time.Time) time.Time {
+	return p.endIfStarted(job, now).Add(p.transfer(job))
+}
+
 // decodeEngine is what a cell believes of a decode engine. The cell's mutex
 // guards it.
 type decodeEngine struct {
-	endpoint    figseam.Endpoint
-	ledger      *allocator.Ledger
+	endpoint figseam.Endpoint
+	ledger   *allocator.Ledger
+	suspension
+}
+
+// suspension keeps new jobs from an engine that failed some.
+type suspension struct {
 	suspendedTo time.Time
+	failures    int
 }
 
+// fail notes a failed job. Failures of jobs that were under way at the same time
+// count once.
+func (s *suspension) fail(now time.Time) {
+	if now.Before(s.suspendedTo) {
+		return
+	}
+	s.failures++
+	pause := min(longestSuspendMillis, suspendMillis<<(min(s.failures, 8)-1))
+	s.suspendedTo = now.Add(time.Duration(pause) * time.Millisecond)
+}
+
+// succeed notes a job that went well.
+func (s *suspension) succeed() { s.failures = 0 }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -151,7 +151,9 @@
 		return c.cell, nil
 	}
 	if h.config == nil {
-		return nil, figseam.Refuse(explainer.NoConfig, "instance has no configuration yet")
+		// Not a refusal: the instance was only just started, and the asker tries
+		// again.
+		return nil, errMoved
 	}
 	endpoints := CellsOf(h.config, id.Pool, id.DataCentre)[id]
 	if len(endpoints) == 0 {
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -17,11 +17,17 @@
 	// ownerRetryMillis is the pause before an owner that cannot be reached is
 	// looked up again.
 	ownerRetryMillis = 50
+	// persistMillis is the pause before a job that may not be refused is tried
+	// again.
+	persistMillis = 200
 	// ownerWaitMillis bounds how long a job without a deadline for its first
 	// token waits for an owner to appear.
 	ownerWaitMillis = 20_000
 	// renewMillis is how often holders renew their leases.
 	renewMillis = 2000
+	// silentMillis is how long an instance that could not be reached is passed
+	// over as an owner, before the detector knows of it.
+	silentMillis = 2000
 	// maxSpills bounds the other data centres that are asked for one job.
 	maxSpills = 2
 )
@@ -47,6 +53,9 @@
 	held map[figseam.GrantID]*heldGrant
 	// busyTo remembers until when a cell said that it refuses.
 	busyTo map[figseam.CellID]time.Time
+	// silentTo remembers until when an instance is passed over as an owner, since
+	// it could not be reached.
+	silentTo map[figseam.InstanceID]time.Time
 }
 
 type heldGrant struct {
@@ -60,12 +69,30 @@
 	return &Router{
 		membership: membership, config: config, host: host, peers: peers,
 		held: map[figseam.GrantID]*heldGrant{}, busyTo: map[figseam.CellID]time.Time{},
+		silentTo: map[figseam.InstanceID]time.Time{},
 	}
 }
 
 // Place finds a cell for the job: first in this data centre, then in others if
-// the cells here would miss the deadline.
+// the cells here would miss the deadline. A job that may not be refused is tried
+// again for as long as its caller waits.
 func (r *Router) Place(ctx context.Context, job figseam.Job) (figseam.Placement, error) {
+	for {
+		p, err := r.placeOnce(ctx, job)
+		refusal := figseam.RefusalOf(err)
+		if refusal == nil || job.Refusable() || refusal.Code == explainer.NoConfig {
+			return p, err
+		}
+		job = job.WithoutAvoid()
+		select {
+		case <-ctx.Done():
+			return figseam.Placement{}, ctx.Err()
+		case <-time.After(persistMillis * time.Millisecond):
+		}
+	}
+}
+
+func (r *Router) placeOnce(ctx context.Context, job figseam.Job) (figseam.Placement, error) {
 	config := r.config()
 	if config == nil {
 		return figseam.Placement{}, figseam.Refuse(explainer.NoConfig, "instance has no configuration yet")
@@ -152,12 +179,13 @@
 // the job waits. A job that was not placed did not start, so that is safe.
 func (r *Router) placeIn(ctx context.Context, cell figseam.CellID, job figseam.Job) (figseam.Placement, error) {
 	giveUp := job.FirstToken
-	if job.Patient() {
+	if !job.Refusable() {
 		giveUp = figseam.DeadlineAfterMillis(ownerWaitMillis)
 	}
 	for {
-		owner := OwnerOf(cell, r.membership.Members())
+		owner := r.owner(cell)
 		p, err := r.askPlace(ctx, owner, cell, job)
+		r.noteAnswer(owner, err)
 		if err == nil || ctx.Err() != nil || figseam.RefusalOf(err) != nil {
 			return p, err
 		}
@@ -185,6 +213,39 @@
 	}
 }
 
+// owner returns the owner of a cell, passing over instances that could not be
+// reached a moment ago.
+func (r *Router) owner(cell figseam.CellID) figseam.InstanceID {
+	members := r.membership.Members()
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.silentTo) == 0 {
+		return OwnerOf(cell, members)
+	}
+	reachable := make([]figseam.Member, 0, len(members))
+	for _, m := range members {
+		if !now.Before(r.silentTo[m.ID]) {
+			reachable = append(reachable, m)
+		}
+	}
+	if owner := OwnerOf(cell, reachable); owner != "" {
+		return owner
+	}
+	return OwnerOf(cell, members)
+}
+
+// noteAnswer notes whether an owner could be reached.
+func (r *Router) noteAnswer(owner figseam.InstanceID, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(err, figseam.ErrUnreachable) {
+		r.silentTo[owner] = time.Now().Add(silentMillis * time.Millisecond)
+		return
+	}
+	delete(r.silentTo, owner)
+}
+
 func (r *Router) hold(p figseam.Placement, job figseam.Job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -199,8 +260,9 @@
 // Seat asks the owner for the decode engine. See [figseam.Placer].
 func (r *Router) Seat(ctx context.Context, p figseam.Placement, heldUntil figseam.Deadline) (figseam.Placement, error) {
 	for {
-		owner := OwnerOf(p.Cell, r.membership.Members())
+		owner := r.owner(p.Cell)
 		seated, err := r.askSeat(ctx, owner, p, heldUntil)
+		r.noteAnswer(owner, err)
 		if err == nil {
 			r.noteSeat(seated)
 			return seated, nil
@@ -213,7 +275,7 @@
 			return figseam.Placement{}, ctx.Err()
 		case <-time.After(ownerRetryMillis * time.Millisecond):
 		}
-		r.announce(ctx, p.Cell, OwnerOf(p.Cell, r.membership.Members()))
+		r.announce(ctx, p.Cell, r.owner(p.Cell))
 	}
 }
 
@@ -247,7 +309,7 @@
 		}
 	}
 	r.mu.Unlock()
-	owner := OwnerOf(p.Cell, r.membership.Members())
+	owner := r.owner(p.Cell)
 	if owner == r.membership.Self().ID {
 		r.host.Report(p)
 		return
@@ -278,9 +340,8 @@
 // followOwners announces grants to owners that changed, and with renew set
 // renews all leases.
 func (r *Router) followOwners(ctx context.Context, renew bool) {
-	members := r.membership.Members()
 	for _, cell := range r.heldCells() {
-		owner := OwnerOf(cell, members)
+		owner := r.owner(cell)
 		if owner == "" {
 			continue
 		}
