executor, replicator: discard doubled chunks, repair a group without a pause

End-to-end tests with processes found both: a chunk that overlapped in part was taken for a gap until the attempt gave up; between a learner's promotion and the removal of the lost voter lay 300 ms in which a second loss cost the majority.

--- a/cmd/figload/launcher/process_test.go
+++ b/cmd/figload/launcher/process_test.go
@@ -281,8 +281,8 @@
 		require.NoError(t, os.RemoveAll(p.settings[i].DataFolder))
 		p.start(p.settings[i])
 		require.NoError(t, launcher.WaitReady(p.settings[i].Callers))
-		require.Eventually(t, func() bool { return p.voters() == 3 && p.order(2, fmt.Sprint("repaired", round)) == http.StatusOK }, eventually, poll)
-		require.Eventually(t, func() bool { return p.isVoter(i) }, eventually, poll, "the new replica becomes a voter")
+		require.Eventually(t, func() bool { return p.isVoter(i) && p.voters() == 3 }, eventually, poll, "the new replica replaces the lost one")
+		require.Eventually(t, func() bool { return p.order(2, fmt.Sprint("repaired", round)) == http.StatusOK }, eventually, poll)
 	}
 	require.Equal(t, uint64(1), p.version(2), "nothing reverted")
 	p.requireOnce()
--- a/executor/attempt.go
+++ b/executor/attempt.go
@@ -253,11 +253,12 @@
 // where the caller is.
 var errGap = errors.New("stream skipped tokens")
 
-// take passes on a chunk that continues the answer, discards one that the caller
-// has, and refuses one that leaves a gap or overlaps in part.
+// take passes on a chunk that continues the answer and refuses one that leaves a
+// gap. One that begins before the caller's place is a double, whole or in part; it
+// is discarded, and what it had beyond comes again or is asked for again.
 func (a *attempt) take(c figseam.Chunk) error {
 	want := a.result.AnswerTokens
-	if c.Offset+c.Tokens <= want && c.Finish == "" {
+	if c.Offset < want && c.Finish == "" {
 		return nil
 	}
 	if c.Offset != want {
--- a/replicator/grouping.go
+++ b/replicator/grouping.go
@@ -139,17 +139,20 @@
 	return err
 }
 
-// changeGroup makes at most one change: a replaced voter is removed, or a
-// learner that has caught up becomes a voter.
+// changeGroup changes the group one step after another until it is as wanted:
+// between a learner's promotion and the removal of the voter that it replaces,
+// one more loss could cost the majority, so the steps follow at once.
 func (n *Node) changeGroup(ctx context.Context) {
-	n.mu.Lock()
-	next, changed := n.group, false
-	if n.mayChange() {
-		next, changed = n.nextGroup()
-	}
-	n.mu.Unlock()
-	if changed {
-		_ = n.proposeGroup(ctx, next)
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		next, changed := n.group, false
+		if n.mayChange() {
+			next, changed = n.nextGroup()
+		}
+		n.mu.Unlock()
+		if !changed || n.proposeGroup(ctx, next) != nil {
+			return
+		}
 	}
 }
 
