deduplicator, replicator: a stopped leader holds a claim up for less than the route allows

Seen in TestFrozenInstanceDoesNoHarm: an order was refused as not run (claim_lost), since each try at the frozen leader took 2 s.

--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -18,7 +18,7 @@
 	// clock that runs slow or a process that is stopped.
 	sendMarginMillis = 200
 	// sendMillis is how long after its claim was proposed a holder may still send.
-	sendMillis = 2000
+	sendMillis = 5000
 	// retryMillis is what a caller is told to wait while a key is in progress.
 	retryMillis = 1000
 )
--- a/replicator/client.go
+++ b/replicator/client.go
@@ -108,8 +108,9 @@
 	return nil, figseam.ErrNotProposed
 }
 
-// proposeMillis bounds one try.
-const proposeMillis = 2000
+// proposeMillis bounds one try, so that a leader that was stopped holds a command
+// up for little longer than the others take to elect another one.
+const proposeMillis = 700
 
 // HandlePropose serves a client of another instance.
 func (n *Node) HandlePropose(ctx context.Context, r ProposeRequest) ProposeReply {
