--- a/cmd/figload/launcher/process_test.go
+++ b/cmd/figload/launcher/process_test.go
@@ -67,6 +67,8 @@
 // a test wants to cut them.
 func startProcesses(t *testing.T, relayed bool) *processes {
 	user, _ := planner.Find("pilhacasa")
+	// No verdict may hang on the speed of the machine.
+	user.FirstTokenMillis = eventually.Milliseconds()
 	d, err := launcher.StandIns([]planner.User{user})
 	require.NoError(t, err)
 	p := &processes{t: t, d: d, user: user, folder: t.TempDir(), running: map[figseam.InstanceID]*exec.Cmd{}, relays: map[string]*relay{}}
--- /dev/null
+++ b/cmd/figload/layout.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/figseam/figseam/cmd/figload/layouter"
+)
+
+// defaultPort is the first port of a layout.
+const defaultPort = 18_000
+
+func runLayout(args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("layout", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	dir := flags.String("dir", "", "`DIR` to write to")
+	port := flags.Int("port", defaultPort, "first port to use")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	if *dir == "" {
+		return errors.New("-dir: expected a directory")
+	}
+	return layouter.Write(*dir, *port, out)
+}
+
+func runStandIns(args []string, out, errs io.Writer) error {
+	flags := flag.NewFlagSet("standins", flag.ContinueOnError)
+	flags.SetOutput(errs)
+	port := flags.Int("port", defaultPort, "first port of the layout")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	fleet, err := layouter.StandIns(*port)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	_, _ = fmt.Fprintf(out, "%d engines and their services are up; Ctrl-C ends them\n", len(fleet.Engines()))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
--- a/cmd/figload/main.go
+++ b/cmd/figload/main.go
@@ -27,6 +27,8 @@
 
 var commands = []command{
 	{"demo", "start a whole deployment in this process and show what it does", runDemo},
+	{"layout", "write the same deployment as separate processes", runLayout},
+	{"standins", "serve the stand-ins of a layout", runStandIns},
 	{"compare", "run the same load against several policies", runCompare},
 }
 
--- a/cmd/figload/planner/planner.go
+++ b/cmd/figload/planner/planner.go
@@ -47,6 +47,8 @@
 	Writes []string
 	// OutputTokens is the mean length of an answer.
 	OutputTokens int
+	// FirstTokenMillis is the interactive route's target.
+	FirstTokenMillis int64
 }
 
 // Users returns the users' fleets as the brief describes them.
@@ -55,12 +57,12 @@
 		{
 			Name: "pilhacasa", Region: "pt-norte", Pool: "lm-pool", Model: "lm", Route: "assistant", Patient: "manual-reader",
 			Service: "shop-api", DataCentres: []figseam.DataCentre{"norte-a", "norte-b", "norte-c"},
-			EarlyStart: 0, Writes: []string{"/orders", "/resets"}, OutputTokens: 90,
+			EarlyStart: 0, Writes: []string{"/orders", "/resets"}, OutputTokens: 90, FirstTokenMillis: 1300,
 		},
 		{
 			Name: "kantamanto", Region: "gh-south", Pool: "strand-reader", Model: "strand", Route: "knots", Patient: "archive",
 			Service: "crew-desk", DataCentres: []figseam.DataCentre{"accra-central", "tema-port", "kasoa-west"},
-			EarlyStart: 0.5, Writes: []string{"/repairs"}, OutputTokens: 100,
+			EarlyStart: 0.5, Writes: []string{"/repairs"}, OutputTokens: 100, FirstTokenMillis: 1300,
 		},
 	}
 }
@@ -123,7 +125,7 @@
 		}),
 		object(figseam.KindService, figseam.Service{Name: u.Service, KeyCheck: figseam.KeyCheckNone, NotRunStatuses: []int{503}}),
 		object(figseam.KindRoute, figseam.Route{
-			Name: u.Route, Model: u.Model, FirstTokenMillis: 1300, BetweenTokensMillis: 25, Retries: 3,
+			Name: u.Route, Model: u.Model, FirstTokenMillis: u.FirstTokenMillis, BetweenTokensMillis: 25, Retries: 3,
 		}),
 		object(figseam.KindRoute, figseam.Route{Name: u.Patient, Model: u.Model, Patient: true, Retries: 3}),
 		object(figseam.KindRoute, figseam.Route{
