--- /dev/null
+++ b/checker/check_test.go
@@ -0,0 +1,109 @@
+package checker_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/checker"
+	"github.com/figseam/figseam/decoder"
+	"github.com/figseam/figseam/explainer"
+)
+
+// sound is a set without faults, one object a line from line 2 on.
+var sound = []string{
+	`{"kind":"pool","name":"lm-pool","piece_tokens":1000,"early_start":0.5,"hold_ms":800,"prefill_tokens_per_s":9000,"step_ms":19,"transfer_tokens_per_s":60000,"slots":20}`,
+	`{"kind":"endpoint","name":"p1","pool":"lm-pool","address":"http://127.0.0.1:1","data_centre":"norte-a","role":"prefill","pieces":48}`,
+	`{"kind":"endpoint","name":"d1","pool":"lm-pool","address":"http://127.0.0.1:2","data_centre":"norte-a","role":"decode","pieces":48}`,
+	`{"kind":"endpoint","name":"s1","service":"shop-api","address":"http://127.0.0.1:3","data_centre":"norte-a"}`,
+	`{"kind":"service","name":"shop-api","key_check":"none"}`,
+	`{"kind":"model","name":"lm","pool":"lm-pool","expected_output_tokens":90,"max_output_tokens":1000}`,
+	`{"kind":"route","name":"assistant","model":"lm","first_token_ms":1300,"between_tokens_ms":25,"retries":3}`,
+	`{"kind":"route","name":"orders","service":"shop-api","path_prefix":"/orders","timeout_ms":5000}`,
+	`{"kind":"account_class","name":"gold","requests_per_s":5,"burst":10}`,
+	`{"kind":"account","name":"faro","class":"gold"}`,
+}
+
+func check(objects []string) []decoder.Fault {
+	read, faults := checker.Read("set.json", []byte("[\n"+strings.Join(objects, ",\n")+"\n]"))
+	return append(faults, checker.Check(read)...)
+}
+
+func TestSoundSetHasNoFaults(t *testing.T) {
+	require.Empty(t, check(sound))
+}
+
+// faulty are changes of one line of the sound set, and the fault that each must
+// lead to.
+var faulty = []struct {
+	line   int
+	old    string
+	new    string
+	code   figseam.Code
+	object string
+	field  string
+}{
+	{2, `"slots":20`, `"slots":20,"colour":"red"`, decoder.CodeUnknownField, "pool/lm-pool", "colour"},
+	{2, `"slots":20`, `"slots":20,"slots":20`, decoder.CodeRepeated, "pool/lm-pool", "slots"},
+	{2, `"slots":20`, `"slots":"20"`, decoder.CodeWrongType, "pool/lm-pool", "slots"},
+	{2, `"slots":20`, `"slots":2.5`, decoder.CodeWrongType, "pool/lm-pool", "slots"},
+	{2, `"slots":20`, `"slots":0`, checker.CodeOutOfRange, "pool/lm-pool", "slots"},
+	{2, `,"slots":20`, ``, checker.CodeMissingField, "pool/lm-pool", "slots"},
+	{2, `"early_start":0.5`, `"early_start":1.5`, checker.CodeOutOfRange, "pool/lm-pool", "early_start"},
+	{3, `"role":"prefill"`, `"role":"both"`, checker.CodeOutOfRange, "endpoint/p1", "role"},
+	{3, `http://127.0.0.1:1`, `127.0.0.1`, checker.CodeOutOfRange, "endpoint/p1", "address"},
+	{3, `"pool":"lm-pool"`, `"pool":"gone"`, checker.CodeDangling, "endpoint/p1", "pool"},
+	{3, `"pool":"lm-pool"`, `"pool":"lm-pool","service":"shop-api"`, checker.CodeConflicting, "endpoint/p1", "service"},
+	{4, `"role":"decode"`, `"role":"prefill"`, checker.CodeMissingRole, "model/lm", "pool"},
+	{4, `"name":"d1"`, `"name":"p1"`, checker.CodeDuplicate, "endpoint/p1", "name"},
+	{6, `"key_check":"none"`, `"key_check":"some"`, checker.CodeOutOfRange, "service/shop-api", "key_check"},
+	{6, `"kind":"service"`, `"kind":"servant"`, checker.CodeUnknownKind, "servant/shop-api", "kind"},
+	{7, `"pool":"lm-pool"`, `"pool":"none"`, checker.CodeDangling, "model/lm", "pool"},
+	{8, `"model":"lm"`, `"model":"ml"`, checker.CodeDangling, "route/assistant", "model"},
+	{8, `"between_tokens_ms":25`, `"between_tokens_ms":5`, checker.CodeImpossibleTarget, "route/assistant", "between_tokens_ms"},
+	{8, `"retries":3`, `"retries":-1`, checker.CodeOutOfRange, "route/assistant", "retries"},
+	{9, `"timeout_ms":5000`, `"timeout_ms":0`, checker.CodeOutOfRange, "route/orders", "timeout_ms"},
+	{11, `"class":"gold"`, `"class":"lead"`, checker.CodeDangling, "account/faro", "class"},
+	{11, `"kind":"account",`, ``, checker.CodeMissingField, "faro", "kind"},
+	{11, `"kind":"account"`, `"kind":"account"]`, decoder.CodeSyntax, "", ""},
+}
+
+func TestFaultsAreNamed(t *testing.T) {
+	for _, c := range faulty {
+		t.Run(fmt.Sprintf("%d %s", c.line, c.new), func(t *testing.T) {
+			objects := append([]string(nil), sound...)
+			require.Contains(t, objects[c.line-2], c.old)
+			objects[c.line-2] = strings.Replace(objects[c.line-2], c.old, c.new, 1)
+			faults := check(objects)
+			for _, f := range faults {
+				if f.Code == c.code && f.Object == c.object && f.Field == c.field {
+					if c.code != checker.CodeMissingRole {
+						require.Equal(t, c.line, f.Line, f.Error())
+					}
+					return
+				}
+			}
+			require.Failf(t, "fault is not listed", "%v", faults)
+		})
+	}
+}
+
+// TestAllFaultsAreListedAtOnce breaks every object of a set.
+func TestAllFaultsAreListedAtOnce(t *testing.T) {
+	var objects []string
+	for _, o := range sound {
+		objects = append(objects, strings.Replace(o, `{`, `{"extra":1,`, 1))
+	}
+	require.Len(t, check(objects), len(sound))
+}
+
+// TestEveryCodeIsExplained holds that every fault has an entry in the catalogue.
+func TestEveryCodeIsExplained(t *testing.T) {
+	for _, c := range faulty {
+		_, ok := explainer.Lookup(c.code)
+		require.True(t, ok, "%s", c.code)
+	}
+}
