--- a/checker/kinds.go
+++ b/checker/kinds.go
@@ -43,7 +43,7 @@
 	for _, o := range objects {
 		add(c, o.Value)
 	}
-	return c
+	return c.WithIndex()
 }
 
 func add(c *figseam.Config, value any) {
@@ -89,6 +89,9 @@
 	for _, o := range objects {
 		add(&c, o.Value)
 	}
+	if changed[figseam.KindEndpoint] {
+		return c.WithIndex()
+	}
 	return &c
 }
 
--- a/config.go
+++ b/config.go
@@ -143,10 +143,31 @@
 	Routes    map[string]Route
 	Classes   map[string]AccountClass
 	Accounts  map[Account]AccountObject
+
+	// byPool is the index of [Config.WithIndex].
+	byPool map[string][]Endpoint
 }
 
-// PoolEndpoints returns the pool's engines, ordered by name.
+// WithIndex returns a copy with which the endpoints of a pool are found without
+// looking at all others. The maps must not be changed after.
+func (c *Config) WithIndex() *Config {
+	indexed := *c
+	indexed.byPool = map[string][]Endpoint{}
+	for _, e := range c.Endpoints {
+		indexed.byPool[e.Pool] = append(indexed.byPool[e.Pool], e)
+	}
+	for _, endpoints := range indexed.byPool {
+		sortEndpoints(endpoints)
+	}
+	return &indexed
+}
+
+// PoolEndpoints returns the pool's engines, ordered by name. The caller must not
+// change them.
 func (c *Config) PoolEndpoints(pool string) []Endpoint {
+	if c.byPool != nil && pool != "" {
+		return c.byPool[pool]
+	}
 	return c.endpoints(func(e Endpoint) bool { return e.Pool == pool && pool != "" })
 }
 
@@ -162,10 +183,14 @@
 			found = append(found, e)
 		}
 	}
-	slices.SortFunc(found, func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+	sortEndpoints(found)
 	return found
 }
 
+func sortEndpoints(endpoints []Endpoint) {
+	slices.SortFunc(endpoints, func(a, b Endpoint) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 // ServiceRoute returns the route for a call to a service: the one with the
 // longest matching path prefix.
 func (c *Config) ServiceRoute(service, method, path string) (Route, bool) {
--- a/guesser/guesser.go
+++ b/guesser/guesser.go
@@ -89,7 +89,7 @@
 func (g *Guesser) least(pool string, role figseam.Role, avoid []figseam.EndpointID, load func(figseam.LoadReport) int) (figseam.Endpoint, bool) {
 	var best figseam.Endpoint
 	found := false
-	engines := g.config().PoolEndpoints(pool)
+	engines := slices.Clone(g.config().PoolEndpoints(pool))
 	rand.Shuffle(len(engines), func(i, j int) { engines[i], engines[j] = engines[j], engines[i] })
 	for _, e := range engines {
 		if e.Role != role || slices.Contains(avoid, e.Name) || g.states.State(e.Name) != figseam.EndpointLive {
--- a/scheduler/host.go
+++ b/scheduler/host.go
@@ -24,6 +24,7 @@
 	states     figseam.EndpointStates
 	canceller  Canceller
 	dead       func(figseam.InstanceID) bool
+	plan       plan
 
 	// mu guards everything below.
 	mu     sync.Mutex
@@ -82,7 +83,7 @@
 	}
 	self, members := h.membership.Self(), h.membership.Members()
 	for pool := range config.Pools {
-		for id := range CellsOf(config, pool, self.DataCentre) {
+		for id := range h.plan.of(config, pool, self.DataCentre) {
 			if OwnerOf(id, members) == self.ID {
 				_, _ = h.cell(id)
 			}
@@ -137,7 +138,7 @@
 	defer h.mu.Unlock()
 	h.config = config
 	for id, c := range h.cells {
-		cells := CellsOf(config, id.Pool, id.DataCentre)
+		cells := h.plan.of(config, id.Pool, id.DataCentre)
 		c.cell.Configure(config.Pools[id.Pool], cells[id])
 	}
 }
@@ -155,7 +156,7 @@
 		// again.
 		return nil, errMoved
 	}
-	endpoints := CellsOf(h.config, id.Pool, id.DataCentre)[id]
+	endpoints := h.plan.of(h.config, id.Pool, id.DataCentre)[id]
 	if len(endpoints) == 0 {
 		return nil, figseam.Refuse(explainer.NoEngine, "pool %q has no engine in %s", id.Pool, id.DataCentre)
 	}
@@ -213,7 +214,7 @@
 	self, members := h.membership.Self(), h.membership.Members()
 	var owned []figseam.Endpoint
 	for pool := range config.Pools {
-		for id, endpoints := range CellsOf(config, pool, self.DataCentre) {
+		for id, endpoints := range h.plan.of(config, pool, self.DataCentre) {
 			if OwnerOf(id, members) == self.ID {
 				owned = append(owned, endpoints...)
 			}
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -47,6 +47,7 @@
 	config     func() *figseam.Config
 	host       *Host
 	peers      Peers
+	plan       plan
 
 	// mu guards everything below.
 	mu   sync.Mutex
@@ -129,7 +130,7 @@
 // by request so that a resend finds its stream, a second one, then others.
 func (r *Router) candidates(config *figseam.Config, job figseam.Job) []figseam.CellID {
 	home := r.membership.Self().DataCentre
-	local := sortedCells(CellsOf(config, job.Pool, home))
+	local := sortedCells(r.plan.of(config, job.Pool, home))
 	slices.SortFunc(local, func(a, b figseam.CellID) int {
 		return cmp.Compare(mix(string(job.Request), uint64(b.Index)), mix(string(job.Request), uint64(a.Index)))
 	})
@@ -138,7 +139,7 @@
 	}
 	var remote []figseam.CellID
 	for _, dc := range r.otherDataCentres() {
-		cells := sortedCells(CellsOf(config, job.Pool, dc))
+		cells := sortedCells(r.plan.of(config, job.Pool, dc))
 		if len(cells) > 0 {
 			remote = append(remote, cells[rand.IntN(len(cells))])
 		}
--- /dev/null
+++ b/scheduler/router_test.go
@@ -0,0 +1,71 @@
+package scheduler_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/scheduler"
+)
+
+// lone is a membership of one instance.
+type lone struct{ self figseam.Member }
+
+func (l lone) Self() figseam.Member { return l.self }
+
+func (l lone) Members() []figseam.Member { return []figseam.Member{l.self} }
+
+// BenchmarkPlace measures one placement and its end, with a number of engines in
+// view that are half full.
+func BenchmarkPlace(b *testing.B) {
+	for _, engines := range []int{12, 120, 1200} {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) { benchmarkPlace(b, engines) })
+	}
+}
+
+func benchmarkPlace(b *testing.B, engines int) {
+	config := &figseam.Config{
+		Version: 1, Endpoints: map[figseam.EndpointID]figseam.Endpoint{},
+		Pools: map[string]figseam.Pool{"lm": testPool(0.5)},
+	}
+	for i := range engines {
+		role := figseam.RoleDecode
+		if i%3 == 0 {
+			role = figseam.RolePrefill
+		}
+		id := figseam.EndpointID(fmt.Sprintf("e%04d", i))
+		config.Endpoints[id] = figseam.Endpoint{Name: id, Pool: "lm", DataCentre: "a", Role: role, Pieces: 40}
+	}
+	config = config.WithIndex()
+	s := &states{state: map[figseam.EndpointID]figseam.EndpointState{}}
+	m := lone{figseam.Member{ID: "i", DataCentre: "a", State: figseam.InstanceAlive}}
+	h := scheduler.NewHost(m, s, newEngines(), func(figseam.InstanceID) bool { return false })
+	h.Configure(config)
+	r := scheduler.NewRouter(m, func() *figseam.Config { return config }, h, nil)
+	ctx, stop := context.WithCancel(context.Background())
+	done := h.Run(ctx)
+	place := func(i int) figseam.Placement {
+		job := figseam.Job{
+			Request: figseam.RequestID(fmt.Sprint("r", i)), Attempt: figseam.AttemptID(fmt.Sprint("a", i)), Pool: "lm",
+			PromptTokens: 900, OutputTokens: 60, FirstToken: figseam.DeadlineAfterMillis(60_000),
+		}
+		p, err := r.Place(ctx, job)
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Report(ctx, figseam.Progress{Grant: p.Grant, Cell: p.Cell, Stage: figseam.StageDecoding})
+		return p
+	}
+	for i := range engines {
+		place(i)
+	}
+	b.ResetTimer()
+	for i := range b.N {
+		p := place(engines + i)
+		r.Report(ctx, figseam.Progress{Grant: p.Grant, Cell: p.Cell, Stage: figseam.StageEnded})
+	}
+	b.StopTimer()
+	stop()
+	<-done
+}
--- a/scheduler/topology.go
+++ b/scheduler/topology.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,6 +15,36 @@
 // time of one decision.
 const CellEngines = 64
 
+// plan remembers the cells of the present configuration, which are asked for with
+// every job. It is safe for concurrent use.
+type plan struct {
+	// mu guards everything below.
+	mu     sync.Mutex
+	config *figseam.Config
+	cells  map[placeOfPool]map[figseam.CellID][]figseam.Endpoint
+}
+
+type placeOfPool struct {
+	pool string
+	dc   figseam.DataCentre
+}
+
+// of returns [CellsOf] of a configuration. The caller must not change it.
+func (p *plan) of(config *figseam.Config, pool string, dc figseam.DataCentre) map[figseam.CellID][]figseam.Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.config != config {
+		p.config, p.cells = config, map[placeOfPool]map[figseam.CellID][]figseam.Endpoint{}
+	}
+	key := placeOfPool{pool, dc}
+	cells, ok := p.cells[key]
+	if !ok {
+		cells = CellsOf(config, pool, dc)
+		p.cells[key] = cells
+	}
+	return cells
+}
+
 // CellsOf divides a pool's engines of one data centre into cells. The result
 // depends only on the configuration, so all instances come to the same one.
 func CellsOf(config *figseam.Config, pool string, dc figseam.DataCentre) map[figseam.CellID][]figseam.Endpoint {
