--- a/cmd/figload/main.go
+++ b/cmd/figload/main.go
@@ -29,6 +29,7 @@
 	{"demo", "start a whole deployment in this process and show what it does", runDemo},
 	{"layout", "write the same deployment as separate processes", runLayout},
 	{"standins", "serve the stand-ins of a layout", runStandIns},
+	{"slopes", "measure how costs grow with size", runSlopes},
 	{"compare", "run the same load against several policies", runCompare},
 }
 
--- a/detector/members.go
+++ b/detector/members.go
@@ -57,6 +57,19 @@
 	return m
 }
 
+// Prime fills the list with instances that are known already, without passing the
+// news of them on.
+func (m *Members) Prime(known []figseam.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, k := range known {
+		if k.ID != m.self.ID {
+			m.entries[k.ID] = &entry{member: k}
+		}
+	}
+	m.publish()
+}
+
 // Self implements [figseam.Membership].
 func (m *Members) Self() figseam.Member {
 	m.mu.Lock()
