--- a/cmd/figload/driver/driver.go
+++ b/cmd/figload/driver/driver.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -159,15 +158,6 @@
 	}
 }
 
-// RetryMillis returns what a refusal says of when to retry, or 0.
-func RetryMillis(answer *http.Response) int64 {
-	n, err := strconv.ParseInt(answer.Header.Get("Retry-After-Ms"), 10, 64)
-	if err != nil {
-		return 0
-	}
-	return n
-}
-
 // event is what is read of a streamed chunk.
 type event struct {
 	Choices []struct {
--- a/cmd/figload/planner/planner.go
+++ b/cmd/figload/planner/planner.go
@@ -62,7 +62,7 @@
 		{
 			Name: "kantamanto", Region: "gh-south", Pool: "strand-reader", Model: "strand", Route: "knots", Patient: "archive",
 			Service: "crew-desk", DataCentres: []figseam.DataCentre{"accra-central", "tema-port", "kasoa-west"},
-			EarlyStart: 0.5, Writes: []string{"/repairs"}, OutputTokens: 100, FirstTokenMillis: 1300,
+			EarlyStart: 0, Writes: []string{"/repairs"}, OutputTokens: 100, FirstTokenMillis: 1300,
 		},
 	}
 }
--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -92,12 +92,19 @@
 	return err
 }
 
-func (e *engine) Load(ctx context.Context) (report figseam.LoadReport, err error) {
+func (e *engine) Load(ctx context.Context, attempts bool) (report figseam.LoadReport, err error) {
 	defer func() { err = eris.Wrap(err, "load report") }()
+	path := PathLoad
+	if attempts {
+		path += "?attempts=1"
+	}
 	var body LoadBody
-	if err := e.exchange(ctx, http.MethodGet, PathLoad+"?attempts=1", nil, &body); err != nil {
+	if err := e.exchange(ctx, http.MethodGet, path, nil, &body); err != nil {
 		return figseam.LoadReport{}, err
 	}
+	if attempts && body.Attempts == nil {
+		body.Attempts = []figseam.AttemptID{}
+	}
 	return figseam.LoadReport(body), nil
 }
 
--- a/engine.go
+++ b/engine.go
@@ -44,8 +44,9 @@
 	// Cancel frees what the engine holds for the attempt. A nil error is the
 	// engine's confirmation that it holds nothing of it.
 	Cancel(ctx context.Context, attempt AttemptID) error
-	// Load returns the engine's load report, which lags behind the truth.
-	Load(ctx context.Context) (LoadReport, error)
+	// Load returns the engine's load report, which lags behind the truth. The list
+	// of attempts is long, and only given when asked for.
+	Load(ctx context.Context, attempts bool) (LoadReport, error)
 	// CacheEvents returns changes of the prefix cache after sequence number
 	// after. Events come late and may have gaps.
 	CacheEvents(ctx context.Context, after uint64) (CachePage, error)
@@ -118,7 +119,8 @@
 	// QueuedTokens is the number of prompt tokens that wait for prefill.
 	QueuedTokens int
 	Leaving      bool
-	// Attempts lists what the engine holds memory for.
+	// Attempts lists what the engine holds memory for; it is nil when it was not
+	// asked for.
 	Attempts []AttemptID
 }
 
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -276,7 +276,9 @@
 
 // Observe implements watcher.Observer.
 func (i *Instance) Observe(e figseam.Endpoint, report figseam.LoadReport) {
-	i.host.Reconcile(e.Name, report)
+	if report.Attempts != nil {
+		i.host.Reconcile(e.Name, report)
+	}
 	i.guesser.Observe(e.Name, report)
 }
 
--- a/scheduler/lease.go
+++ b/scheduler/lease.go
@@ -103,25 +103,31 @@
 	c.cancelOn(g)
 }
 
+// cancelOn tells the engines of a grant to free its memory, and frees the grant
+// when the decode engine has confirmed. The caller holds the mutex.
 func (c *Cell) cancelOn(g *grant) {
-	freed := func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		if g.counted && g.prefill != nil {
-			g.counted = false
-			g.prefill.running--
-		}
-		c.free(g)
-		c.dispatch()
-	}
 	if g.prefill != nil && g.stage <= figseam.StagePrefilled {
 		c.canceller.Cancel(g.prefill.endpoint, g.job.Attempt, nil)
 	}
 	if g.decode == nil {
-		go freed()
+		c.settle(g)
 		return
 	}
-	c.canceller.Cancel(g.decode.endpoint, g.job.Attempt, freed)
+	c.canceller.Cancel(g.decode.endpoint, g.job.Attempt, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.settle(g)
+		c.dispatch()
+	})
+}
+
+// settle frees a cancelled grant.
+func (c *Cell) settle(g *grant) {
+	if g.counted && g.prefill != nil {
+		g.counted = false
+		g.prefill.running--
+	}
+	c.free(g)
 }
 
 // Expire gives up the grants whose lease ended, and shortens the leases of
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -22,9 +22,11 @@
 	// listMillis is the time between two looks at the platform's list.
 	listMillis = 1000
 	// loadMillis is the time between two load reports of an engine, cacheEvery
-	// how many reports lie between two looks at its cache events.
-	loadMillis = 500
-	cacheEvery = 2
+	// how many reports lie between two looks at its cache events, attemptsEvery
+	// between two lists of its attempts.
+	loadMillis    = 500
+	cacheEvery    = 2
+	attemptsEvery = 8
 	// lookMillis bounds one look.
 	lookMillis = 1500
 	// maxListBytes bounds the platform's list.
@@ -169,14 +171,14 @@
 	defer cancel()
 	var looks sync.WaitGroup
 	for _, e := range w.watched() {
-		looks.Go(func() { w.lookAtEngine(ctx, e, round%cacheEvery == 0) })
+		looks.Go(func() { w.lookAtEngine(ctx, e, round) })
 	}
 	looks.Wait()
 }
 
-func (w *Watcher) lookAtEngine(ctx context.Context, e figseam.Endpoint, cache bool) {
+func (w *Watcher) lookAtEngine(ctx context.Context, e figseam.Endpoint, round int) {
 	engine := w.dialer.Engine(e)
-	report, err := engine.Load(ctx)
+	report, err := engine.Load(ctx, round%attemptsEvery == 0)
 	if err != nil {
 		if ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded {
 			w.endpoints.NoteFailure(e.Name)
@@ -188,7 +190,7 @@
 		w.endpoints.NoteLeaving(e.Name)
 	}
 	w.observer.Observe(e, report)
-	if cache && e.Role == figseam.RolePrefill {
+	if round%cacheEvery == 0 && e.Role == figseam.RolePrefill {
 		w.lookAtCache(ctx, e, engine)
 	}
 }
