--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -169,6 +169,9 @@
 	case 3: // a double that overlaps in part
 		return figseam.Chunk{Attempt: c.attempt, Offset: from, Tokens: c.at + 1 - from, Text: answer(from, c.at+1)}, nil
 	case 4: // a gap
+		if c.at+1 >= c.p.length {
+			return figseam.Chunk{}, figseam.ErrGarbled
+		}
 		return figseam.Chunk{Attempt: c.attempt, Offset: c.at + 1, Tokens: 1, Text: token(c.at + 1)}, nil
 	default:
 		<-c.ctx.Done()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -41,18 +41,28 @@
 	machine *deduplicator.Machine
 	index   uint64
 	fault   fault
-	late    []figseam.Command
+	// sound is how many commands go well before the fault sets in.
+	sound int
+	late  []figseam.Command
 }
 
-func (l *sharedLog) set(f fault) {
+func (l *sharedLog) set(f fault) { l.setAfter(f, 0) }
+
+// setAfter lets a fault set in after a number of commands, so that it can come
+// between a claim and its settlement.
+func (l *sharedLog) setAfter(f fault, sound int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fault = f
+	l.fault, l.sound = f, sound
 }
 
 func (l *sharedLog) Propose(_ context.Context, c figseam.Command) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.sound > 0 {
+		l.sound--
+		return l.apply(c), nil
+	}
 	switch l.fault {
 	case faultRefuse:
 		return nil, figseam.ErrNotProposed
@@ -199,7 +209,8 @@
 	t.Repeat(map[string]func(*rapid.T){
 		"call": func(t *rapid.T) { w.check(t, at.Draw(t, "at"), key.Draw(t, "key")) },
 		"log": func(t *rapid.T) {
-			w.log.set(rapid.SampledFrom([]fault{faultNone, faultNone, faultRefuse, faultLoseResult, faultLate}).Draw(t, "fault"))
+			f := rapid.SampledFrom([]fault{faultNone, faultNone, faultRefuse, faultLoseResult, faultLate}).Draw(t, "fault")
+			w.log.setAfter(f, rapid.IntRange(0, 2).Draw(t, "sound"))
 		},
 		"late":    func(*rapid.T) { w.log.applyLate() },
 		"restore": func(t *rapid.T) { w.log.restore(t) },
--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -91,6 +91,34 @@
 	})
 }
 
+// TestEmptiedReplicaDoesNotVoteForTheLostOne loses the disk of one of the two
+// replicas that hold the newest entries, while the third one is behind. Its
+// successor must not help the third one to lead.
+func TestEmptiedReplicaDoesNotVoteForTheLostOne(t *testing.T) {
+	withGroup(t, func(t *testing.T, g *group) {
+		l := g.awaitLeader(t)
+		var others []figseam.InstanceID
+		for _, n := range g.voters {
+			if n != l.name {
+				others = append(others, n)
+			}
+		}
+		lost, behind := others[0], others[1]
+		g.isolate(behind, true)
+		require.NoError(t, propose(l.node, "kept"))
+		g.isolate(l.name, true)
+		g.crash(lost)
+		g.replicas[lost].disk.Erase()
+		g.setCut(lost, behind, false)
+		g.start(t, lost)
+		time.Sleep(10 * time.Minute)
+		require.NotEqual(t, "leader", g.replicas[behind].node.Status().Role)
+		g.mend(t)
+		g.awaitSettled(t)
+		require.Equal(t, []string{"kept"}, g.replicas[behind].ledger.all())
+	})
+}
+
 // TestFailedSyncStopsReplica lets a disk fail and holds that the replica ends with
 // its error.
 func TestFailedSyncStopsReplica(t *testing.T) {
--- a/scheduler/cell_test.go
+++ b/scheduler/cell_test.go
@@ -149,6 +149,7 @@
 	placed  int
 	refused int
 	unsat   int
+	ahead   int // jobs that started without decode memory in hand
 	patient int
 }
 
@@ -221,6 +222,9 @@
 			return
 		}
 		b.count(&b.placed)
+		if p.Decode == "" {
+			b.count(&b.ahead)
+		}
 		if job.Patient() {
 			b.count(&b.patient)
 		}
@@ -421,6 +425,7 @@
 		}
 		b.tasks.Wait()
 		require.Zero(t, b.unsat)
+		require.Zero(t, b.ahead)
 		require.Positive(t, b.placed)
 	})
 }
