--- a/cmd/figload/launcher/launcher.go
+++ b/cmd/figload/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -285,12 +286,29 @@
 	return err
 }
 
-// FreeAddress returns a loopback address that was free a moment ago.
+// Ports that are given to instances lie below those that the operating system
+// gives to outgoing connections, so that none of these takes one before its
+// instance listens.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// nextPort counts the ports given so far. Processes begin at different places.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(int64(os.Getpid()) * 97) }
+
+// FreeAddress returns a loopback address on which nobody listens.
 func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1)%portCount)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	panic("no free port")
 }
