--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -124,6 +124,8 @@
 	r.disk.FailAfter(0)
 	r.stop()
 	r.err = <-r.ended
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	r.disk.Crash(g.random)
 }
 
@@ -151,6 +153,13 @@
 	}
 }
 
+// quiet ends the loss and doubling of messages.
+func (g *group) quiet() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loss, g.double = 0, 0
+}
+
 // mend joins all links and starts what is down.
 func (g *group) mend(t require.TestingT) {
 	for _, n := range g.voters {
@@ -260,8 +269,9 @@
 	// What arrives is a copy, as it is on a wire.
 	response := serve(node, reencode(request))
 	if twice {
+		later := 2 * delay
 		go func() {
-			time.Sleep(2 * delay)
+			time.Sleep(later)
 			serve(node, reencode(request))
 		}()
 	}
@@ -420,7 +430,7 @@
 					g.start(t, n)
 				},
 			})
-			g.loss, g.double = 0, 0
+			g.quiet()
 			g.mend(t)
 			h.tasks.Wait()
 			g.awaitSettled(t)
--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -127,7 +127,9 @@
 		l.disk.FailAfter(1)
 		require.Error(t, propose(l.node, "x"))
 		require.ErrorIs(t, <-l.ended, emulator.ErrDisk)
-		l.node, l.stop = nil, func() {}
+		g.mu.Lock()
+		l.node = nil
+		g.mu.Unlock()
 		require.NotEqual(t, l.name, g.awaitLeader(t).name)
 	})
 }
