--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -19,6 +19,10 @@
 	frameReply
 	frameCancel
 	frameSend
+	// frameUnsent and frameLost never travel: they tell a waiting call that its
+	// frame did not leave, or that its connection broke.
+	frameUnsent
+	frameLost
 )
 
 // frame is one message on a connection.
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -69,7 +69,7 @@
 		switch r.Type {
 		case frameReply:
 			return r, nil
-		case frameCancel:
+		case frameUnsent:
 			return frame{}, figseam.ErrUnreachable
 		default:
 			return frame{}, ErrLost
@@ -100,16 +100,12 @@
 	delete(p.pending, id)
 }
 
-// fail ends every pending call. With unsent set, none of them reached the peer.
-func (p *peer) fail(unsent bool) {
-	kind := frameCall
-	if unsent {
-		kind = frameCancel
-	}
+// fail ends every pending call, with frameUnsent or frameLost.
+func (p *peer) fail(why frameType) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, reply := range p.pending {
-		reply <- frame{Type: kind}
+		reply <- frame{Type: why}
 		delete(p.pending, id)
 	}
 }
@@ -146,7 +142,7 @@
 func (p *peer) refuseWhile(ctx context.Context, pause time.Duration) {
 	p.setDown(true)
 	defer p.setDown(false)
-	p.fail(true)
+	p.fail(frameUnsent)
 	p.emptyQueue()
 	timer := time.NewTimer(pause/2 + rand.N(pause/2+1))
 	defer timer.Stop()
@@ -199,7 +195,7 @@
 		_ = conn.CloseNow()
 		<-read
 		<-beaten
-		p.fail(false)
+		p.fail(frameLost)
 	}()
 	if p.write(ctx, conn, first) != nil {
 		return
--- a/scheduler/router.go
+++ b/scheduler/router.go
@@ -85,14 +85,22 @@
 			return p, err
 		}
 		job = job.WithoutAvoid()
-		select {
-		case <-ctx.Done():
-			return figseam.Placement{}, ctx.Err()
-		case <-time.After(persistMillis * time.Millisecond):
+		if err := pause(ctx, persistMillis); err != nil {
+			return figseam.Placement{}, err
 		}
 	}
 }
 
+// pause waits, unless ctx ends before.
+func pause(ctx context.Context, millis int64) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(time.Duration(millis) * time.Millisecond):
+		return nil
+	}
+}
+
 func (r *Router) placeOnce(ctx context.Context, job figseam.Job) (figseam.Placement, error) {
 	config := r.config()
 	if config == nil {
@@ -193,10 +201,8 @@
 		if owner == "" || giveUp.Passed() {
 			return figseam.Placement{}, figseam.Refuse(explainer.NoOwner, "owner of cell %s/%s/%d does not answer", cell.Pool, cell.DataCentre, cell.Index)
 		}
-		select {
-		case <-ctx.Done():
-			return figseam.Placement{}, ctx.Err()
-		case <-time.After(ownerRetryMillis * time.Millisecond):
+		if err := pause(ctx, ownerRetryMillis); err != nil {
+			return figseam.Placement{}, err
 		}
 	}
 }
@@ -271,10 +277,8 @@
 		if figseam.RefusalOf(err) != nil || ctx.Err() != nil || heldUntil.Passed() {
 			return figseam.Placement{}, err
 		}
-		select {
-		case <-ctx.Done():
-			return figseam.Placement{}, ctx.Err()
-		case <-time.After(ownerRetryMillis * time.Millisecond):
+		if err := pause(ctx, ownerRetryMillis); err != nil {
+			return figseam.Placement{}, err
 		}
 		r.announce(ctx, p.Cell, r.owner(p.Cell))
 	}
