--- a/decoder/parse.go
+++ b/decoder/parse.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 )
 
 // Node is a JSON value with its place in the text.
@@ -67,24 +68,19 @@
 	dec  *json.Decoder
 }
 
-// line returns the line of the next token. The decoder's offset lies behind the
+// start returns the offset of the next token. The decoder's offset lies behind the
 // last token, so separators and blanks are passed over first.
-func (p *parser) line() int {
-	at := min(int(p.dec.InputOffset()), len(p.text))
-	for at < len(p.text) && bytes.IndexByte([]byte(" \t\r\n,:"), p.text[at]) >= 0 {
-		at++
-	}
-	return 1 + bytes.Count(p.text[:at], []byte("\n"))
-}
-
 func (p *parser) start() int {
-	at := int(p.dec.InputOffset())
-	for at < len(p.text) && bytes.IndexByte([]byte(" \t\r\n,:"), p.text[at]) >= 0 {
+	at := min(int(p.dec.InputOffset()), len(p.text))
+	for at < len(p.text) && strings.IndexByte(" \t\r\n,:", p.text[at]) >= 0 {
 		at++
 	}
 	return at
 }
 
+// line returns the line of the next token.
+func (p *parser) line() int { return 1 + bytes.Count(p.text[:p.start()], []byte("\n")) }
+
 func (p *parser) value(depth int) (n Node, err error) {
 	if depth > maxDepth {
 		return Node{}, fmt.Errorf("values are nested more than %d deep", maxDepth)
--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -378,7 +378,7 @@
 	if j.failed {
 		return ErrFailed
 	}
-	data, err := encodeBatch(xxhash.Sum64String(j.identity), j.sequence+1, b)
+	data, err := encodeBatch(j.salt, j.sequence+1, b)
 	if err != nil {
 		return err
 	}
--- a/scheduler/cell.go
+++ b/scheduler/cell.go
@@ -323,11 +323,9 @@
 	}
 	began := g.began
 	g.stage, g.began = stage, now
+	g.endsAt = now.Add(c.answerTime(g.job))
 	switch stage {
-	case figseam.StagePrefilled:
-		g.endsAt = now.Add(c.answerTime(g.job))
 	case figseam.StageDecoding:
-		g.endsAt = now.Add(c.answerTime(g.job))
 		if g.prefill != nil {
 			g.prefill.succeed()
 			g.prefill.observeLink(g.job.PromptTokens, now.Sub(began))
