runner: show figseam_claims, which the catalogue sends operators to

Seen when reading over: the reason claims_full names the gauge, and none was there. The count is kept beside the records, since the log's task owns those.

--- a/deduplicator/machine.go
+++ b/deduplicator/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync/atomic"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -89,6 +90,8 @@
 	order       []*record
 	storedBytes int
 	abandoned   []abandonment
+	// count is the number of records, for readers beside the log's task.
+	count atomic.Int64
 }
 
 // abandonment is a claim command that its holder gave up before it knew whether
@@ -132,6 +135,7 @@
 	case operationAbandon:
 		r = m.abandon(c, entry.LogMillis)
 	}
+	m.count.Store(int64(len(m.records)))
 	result, err := cbor.Marshal(r)
 	if err != nil {
 		return nil
@@ -285,8 +289,9 @@
 		m.records[r.Key] = r
 		m.storedBytes += answerBytes(r.Answer)
 	}
+	m.count.Store(int64(len(m.records)))
 	return nil
 }
 
-// Claims returns how many claims are kept.
-func (m *Machine) Claims() int { return len(m.records) }
+// Claims returns how many claims are kept. It is safe for concurrent use.
+func (m *Machine) Claims() int { return int(m.count.Load()) }
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -186,6 +186,7 @@
 	}
 	i.node = node
 	serveLog(i.messenger, node)
+	i.meter.Gauge("figseam_claims", "Claims of calls that must not be repeated that the log keeps.", func() float64 { return float64(machine.Claims()) })
 	i.meter.Gauge("figseam_journal_bytes", "Length of the journal's segments.", func() float64 { return float64(node.JournalBytes()) })
 	return nil
 }
