--- a/cmd/figload/sloper/agreement.go
+++ b/cmd/figload/sloper/agreement.go
@@ -114,7 +114,9 @@
 	return g, nil
 }
 
-func (g *group) client() *replicator.Client { return replicator.NewClient(nil, g.mesh, g.names) }
+func (g *group) client() *replicator.Client {
+	return replicator.NewClient(nil, g.mesh, func() []figseam.InstanceID { return g.names })
+}
 
 func (g *group) journalBytes() float64 {
 	n := 0.0
--- a/cmd/figseamd/main.go
+++ b/cmd/figseamd/main.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/decoder"
 	"github.com/figseam/figseam/loader"
 	"github.com/figseam/figseam/runner"
 )
@@ -23,6 +24,9 @@
 	exitFaults
 )
 
+// goOn is no exit code.
+const goOn = -1
+
 func main() {
 	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
@@ -31,6 +35,7 @@
 	flags := flag.NewFlagSet("figseamd", flag.ContinueOnError)
 	flags.SetOutput(errs)
 	file := flags.String("settings", "", "settings `FILE` (JSON)")
+	role := flags.String("role", "", "`ROLE` of an instance that relays opaque requests: entry or voter")
 	check := flags.Bool("check", false, "only check the settings")
 	version := flags.Bool("version", false, "print the version")
 	if err := flags.Parse(args); err != nil {
@@ -44,7 +49,27 @@
 		flags.Usage()
 		return exitUsage
 	}
-	settings, faults, err := loader.Load(*file)
+	switch *role {
+	case "":
+		return runInstance(*file, *check, out, errs)
+	case roleEntry, roleVoter:
+		return runRelay(*file, *role, *check, out, errs)
+	}
+	_, _ = fmt.Fprintf(errs, "figseamd: -role: expected %s or %s, found %q\n", roleEntry, roleVoter, *role)
+	return exitUsage
+}
+
+func runInstance(file string, check bool, out, errs io.Writer) int {
+	settings, faults, err := loader.Load(file)
+	if code := report(faults, err, check, out, errs); code != goOn {
+		return code
+	}
+	return serve(settings, out, errs)
+}
+
+// report tells what is wrong with the settings. It returns goOn if the instance
+// is to run.
+func report(faults []decoder.Fault, err error, check bool, out, errs io.Writer) int {
 	if err != nil {
 		_, _ = fmt.Fprintln(errs, "figseamd:", err)
 		return exitFailed
@@ -52,14 +77,14 @@
 	for _, f := range faults {
 		_, _ = fmt.Fprintln(errs, f.Error())
 	}
-	if len(faults) > 0 {
+	switch {
+	case len(faults) > 0:
 		return exitFaults
-	}
-	if *check {
+	case check:
 		_, _ = fmt.Fprintln(out, "settings are sound")
 		return exitOK
 	}
-	return serve(settings, out, errs)
+	return goOn
 }
 
 // serve runs the instance. SIGTERM and the first interrupt make it leave in
--- /dev/null
+++ b/connector/connector.go
@@ -0,0 +1,336 @@
+package connector
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// dialMillis bounds the opening of a connection.
+	dialMillis = 500
+	// silenceMillis is how long sent bytes may stay unconfirmed before the
+	// connection counts as broken.
+	silenceMillis = 1500
+	// idleMillis is how long a connection is kept whose endpoint names no time.
+	idleMillis = 4000
+	// idlePerAddress bounds the idle connections to one endpoint.
+	idlePerAddress = 16
+	// readBytes is the size of a connection's read buffer.
+	readBytes = 4 << 10
+	// foreignAnswers is how many answers to earlier requests are read past.
+	foreignAnswers = 2
+	// foreignBytes bounds the body of such an answer.
+	foreignBytes = 1 << 20
+	// inlineBytes is the size of a request that is written before its answer is
+	// read; a longer one is written beside.
+	inlineBytes = 8 << 10
+)
+
+// ErrNotSent means that no byte of the request left.
+var ErrNotSent = errors.New("request was not sent")
+
+// ErrForeign means that the connection carried answers to other requests only.
+var ErrForeign = errors.New("answers belong to other requests")
+
+// DialFunc opens a network connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Request is one message to an endpoint.
+type Request struct {
+	Address string
+	Method  string
+	// Target is path and query as they go on the wire.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// IDHeader and ID are the header that an answer must repeat; an empty
+	// IDHeader takes every answer.
+	IDHeader string
+	ID       string
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Response is an endpoint's answer. The caller must call Close.
+type Response struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, or -1 when it is not known beforehand.
+	Length int64
+	// Framed tells that the end of the body can be told from a broken connection.
+	Framed bool
+	// Reused tells that the connection had carried requests before.
+	Reused bool
+	body   io.ReadCloser
+	ended  bool
+	x      *exchange
+}
+
+// Connector keeps connections. It is safe for concurrent use.
+type Connector struct {
+	dial DialFunc
+
+	// mu guards everything below.
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	opened uint64
+}
+
+// conn is a connection that one exchange uses at a time.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	idleEnd time.Time
+	used    bool
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	c       *Connector
+	conn    *conn
+	request Request
+	stop    func() bool
+	written chan error
+	wrote   bool
+	keep    bool
+	idleFor time.Duration
+	done    sync.Once
+}
+
+// New returns a connector. A nil dial uses the network.
+func New(dial DialFunc) *Connector {
+	if dial == nil {
+		dial = dialNetwork
+	}
+	return &Connector{dial: dial, idle: map[string][]*conn{}}
+}
+
+// Opened returns how many connections were opened.
+func (c *Connector) Opened() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened
+}
+
+// Do sends a request and returns the head of its answer. The end of ctx breaks
+// the connection at any later time until the response is closed.
+func (c *Connector) Do(ctx context.Context, r Request) (*Response, error) {
+	x := &exchange{c: c, request: r}
+	if err := x.connect(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	cut := x.conn.Conn
+	x.stop = context.AfterFunc(ctx, func() { _ = cut.Close() })
+	reused := x.conn.used
+	x.send()
+	response, err := x.receive()
+	if err != nil {
+		x.discard()
+		if ctx.Err() != nil {
+			err = context.Cause(ctx)
+		}
+		return nil, err
+	}
+	response.Reused = reused
+	return response, nil
+}
+
+func (x *exchange) connect(ctx context.Context) error {
+	if !x.request.Fresh {
+		if k := x.c.take(x.request.Address); k != nil {
+			x.conn = k
+			return nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialMillis*time.Millisecond)
+	defer cancel()
+	raw, err := x.c.dial(ctx, "tcp", x.request.Address)
+	if err != nil {
+		return err
+	}
+	x.c.mu.Lock()
+	x.c.opened++
+	x.c.mu.Unlock()
+	x.conn = &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBytes)}
+	return nil
+}
+
+// take returns an idle connection that is still whole.
+func (c *Connector) take(address string) *conn {
+	for {
+		c.mu.Lock()
+		all := c.idle[address]
+		if len(all) == 0 {
+			c.mu.Unlock()
+			return nil
+		}
+		k := all[len(all)-1]
+		c.idle[address] = all[:len(all)-1]
+		c.mu.Unlock()
+		if time.Now().Before(k.idleEnd) && k.reader.Buffered() == 0 && isQuiet(k.Conn) {
+			return k
+		}
+		_ = k.Close()
+	}
+}
+
+// send writes the request, beside the reading of the answer if it is long: an
+// endpoint may answer before it has read everything.
+func (x *exchange) send() {
+	var b bytes.Buffer
+	b.Grow(len(x.request.Body) + 1024)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", x.request.Method, x.request.Target, x.request.Host)
+	_ = x.request.Header.Write(&b)
+	if len(x.request.Body) > 0 || hasBody(x.request.Method) {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(x.request.Body))
+	}
+	b.WriteString("\r\n")
+	b.Write(x.request.Body)
+	x.written = make(chan error, 1)
+	if b.Len() <= inlineBytes {
+		_, err := x.conn.Write(b.Bytes())
+		x.written <- err
+		return
+	}
+	k := x.conn.Conn
+	go func() {
+		_, err := k.Write(b.Bytes())
+		x.written <- err
+	}()
+}
+
+func hasBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// receive reads the head of the request's own answer.
+func (x *exchange) receive() (*Response, error) {
+	for range foreignAnswers + 1 {
+		response, err := x.readHead()
+		if err != nil {
+			return nil, err
+		}
+		if x.request.IDHeader == "" || response.Header.Get(x.request.IDHeader) == x.request.ID {
+			return response, nil
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(response.body, foreignBytes))
+		if err != nil || n == foreignBytes || !response.Framed {
+			return nil, ErrForeign
+		}
+	}
+	return nil, ErrForeign
+}
+
+func (x *exchange) readHead() (*Response, error) {
+	for {
+		h, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+		if err != nil {
+			return nil, err
+		}
+		if h.StatusCode >= 100 && h.StatusCode < 200 {
+			continue
+		}
+		framed := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
+		x.keep = framed && !h.Close
+		x.idleFor = idleTime(h.Header.Get("Keep-Alive"))
+		return &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, Framed: framed, body: h.Body, x: x}, nil
+	}
+}
+
+// idleTime returns how long a connection may be idle before it is used again:
+// less than the endpoint keeps it open.
+func idleTime(keepAlive string) time.Duration {
+	for field := range strings.SplitSeq(keepAlive, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseFloat(value, 64); err == nil {
+			return time.Duration(seconds * 0.7 * float64(time.Second))
+		}
+	}
+	return idleMillis * time.Millisecond
+}
+
+// Read reads the body. io.EOF means that the body is complete as far as its
+// framing can tell.
+func (r *Response) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.ended = r.ended || errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if the body was read to its
+// end and nothing else came.
+func (r *Response) Close() {
+	r.x.done.Do(func() { r.x.finish(r.ended) })
+}
+
+func (x *exchange) finish(ended bool) {
+	stopped := x.stop()
+	if !stopped || !ended || !x.keep || !x.hasWritten() || x.conn.reader.Buffered() > 0 {
+		_ = x.conn.Close()
+		return
+	}
+	x.conn.used = true
+	x.conn.idleEnd = time.Now().Add(x.idleFor)
+	x.c.put(x.request.Address, x.conn)
+}
+
+func (x *exchange) hasWritten() bool {
+	select {
+	case err := <-x.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func (x *exchange) discard() {
+	x.stop()
+	_ = x.conn.Close()
+}
+
+func (c *Connector) put(address string, k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[address]) >= idlePerAddress {
+		_ = k.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], k)
+}
+
+// Keep closes the idle connections to every address that keep does not name.
+func (c *Connector) Keep(keep func(address string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for address, all := range c.idle {
+		named := keep(address)
+		kept := all[:0]
+		for _, k := range all {
+			if named && now.Before(k.idleEnd) {
+				kept = append(kept, k)
+				continue
+			}
+			_ = k.Close()
+		}
+		if len(kept) == 0 {
+			delete(c.idle, address)
+			continue
+		}
+		c.idle[address] = kept
+	}
+}
--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -54,6 +54,21 @@
 	AnswerTooLarge    figseam.Code = "answer_too_large"
 )
 
+// Outcomes of opaque requests and of their single sendings.
+const (
+	Answered         figseam.Code = "answered"
+	AnsweredFailure  figseam.Code = "answered_failure"
+	DeadlinePassed   figseam.Code = "deadline_passed"
+	EndpointRefused  figseam.Code = "endpoint_refused"
+	EndpointFailed   figseam.Code = "endpoint_failed"
+	EndpointSilent   figseam.Code = "endpoint_silent"
+	NotConnected     figseam.Code = "not_connected"
+	ConnectionBroken figseam.Code = "connection_broken"
+	AnswerForeign    figseam.Code = "answer_foreign"
+	AnswerSpoiled    figseam.Code = "answer_spoiled"
+	PrefillFailed    figseam.Code = "prefill_failed"
+)
+
 // Reasons of answers to operators.
 const (
 	VersionConflict figseam.Code = "version_conflict"
--- /dev/null
+++ b/lister/lister.go
@@ -0,0 +1,234 @@
+// Package lister keeps the newest reading of the platform's list of endpoints.
+//
+// One instance reads the list for all and the others are told, since the
+// platform bounds the calls of all instances together. An instance whose reading
+// has grown old reads the list itself.
+package lister
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/figseam/figseam"
+)
+
+// Source reads the platform's list.
+type Source interface {
+	Read(ctx context.Context) ([]figseam.ListedEndpoint, error)
+}
+
+const (
+	// readMillis bounds one reading.
+	readMillis = 1500
+	// tickMillis is how often the age of the reading is looked at.
+	tickMillis = 100
+	// pauseMillis is the least pause after a failed reading.
+	pauseMillis = 400
+)
+
+// Reading is the list with its age, as it travels between instances.
+type Reading struct {
+	Digest    uint64                   `cbor:"1,keyasint"`
+	AgeMillis int64                    `cbor:"2,keyasint"`
+	Endpoints []figseam.ListedEndpoint `cbor:"3,keyasint,omitempty"`
+	// Known is false as long as nothing was read.
+	Known bool `cbor:"4,keyasint,omitempty"`
+}
+
+// List keeps the newest reading. It is safe for concurrent use.
+type List struct {
+	source Source
+	log    zerolog.Logger
+	// wanted returns the age at which this instance reads the list itself.
+	wanted func() time.Duration
+
+	// mu guards everything below.
+	mu        sync.Mutex
+	endpoints []figseam.ListedEndpoint
+	byService map[string][]figseam.ListedEndpoint
+	byAddress map[string]figseam.ListedEndpoint
+	digest    uint64
+	readAt    time.Time
+	changed   chan struct{}
+	failing   bool
+}
+
+// New returns an empty list. wanted returns the age of the reading at which the
+// instance reads it itself.
+func New(source Source, wanted func() time.Duration, log zerolog.Logger) *List {
+	return &List{source: source, wanted: wanted, log: log, changed: make(chan struct{})}
+}
+
+// Run reads the list whenever the reading is older than wanted. It returns a
+// channel that is closed at its end.
+func (l *List) Run(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(tickMillis * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if l.Age() < l.wanted() {
+				continue
+			}
+			if l.read(ctx) {
+				continue
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(pauseMillis*time.Millisecond + rand.N(pauseMillis*time.Millisecond)):
+			}
+		}
+	}()
+	return ended
+}
+
+func (l *List) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, readMillis*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	endpoints, err := l.source.Read(ctx)
+	l.mu.Lock()
+	was := l.failing
+	l.failing = err != nil
+	l.mu.Unlock()
+	if err != nil {
+		if !was {
+			l.log.Warn().Err(err).Msg("platform list lost")
+		}
+		return false
+	}
+	if was {
+		l.log.Info().Msg("platform list regained")
+	}
+	l.take(endpoints, began)
+	return true
+}
+
+// take puts a reading in place if it is newer than the one held.
+func (l *List) take(endpoints []figseam.ListedEndpoint, readAt time.Time) {
+	figseam.SortEndpoints(endpoints)
+	digest := digestOf(endpoints)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !readAt.After(l.readAt) {
+		return
+	}
+	l.readAt = readAt
+	if digest == l.digest && l.byService != nil {
+		return
+	}
+	l.log.Info().Int("endpoints", len(endpoints)).Int("before", len(l.endpoints)).Uint64("digest", digest).Msg("list changed")
+	l.endpoints, l.digest = endpoints, digest
+	l.byService = map[string][]figseam.ListedEndpoint{}
+	l.byAddress = map[string]figseam.ListedEndpoint{}
+	for _, e := range endpoints {
+		l.byService[e.Service] = append(l.byService[e.Service], e)
+		l.byAddress[e.Address] = e
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+func digestOf(endpoints []figseam.ListedEndpoint) uint64 {
+	data, err := cbor.Marshal(endpoints)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(data, uint64(len(endpoints)))) | 1
+}
+
+// Age returns how old the reading is; without one it is an hour.
+func (l *List) Age() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.age()
+}
+
+func (l *List) age() time.Duration {
+	if l.readAt.IsZero() {
+		return time.Hour
+	}
+	return time.Since(l.readAt)
+}
+
+// Known reports whether the list was ever read.
+func (l *List) Known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byService != nil
+}
+
+// Service returns the endpoints of a service. They must not be changed.
+func (l *List) Service(name string) []figseam.ListedEndpoint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byService[name]
+}
+
+// Listed reports whether an endpoint has this address.
+func (l *List) Listed(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, ok := l.byAddress[address]
+	return ok
+}
+
+// Find returns the endpoint at an address.
+func (l *List) Find(address string) (figseam.ListedEndpoint, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.byAddress[address]
+	return e, ok
+}
+
+// Digest returns the digest of the endpoints, 0 before the first reading, and a
+// channel that is closed when it changes.
+func (l *List) Digest() (uint64, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.digest, l.changed
+}
+
+// Reading returns the list for an instance that has the one with the given
+// digest, whose endpoints are then left out.
+func (l *List) Reading(has uint64) Reading {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := Reading{Digest: l.digest, AgeMillis: l.age().Milliseconds(), Known: l.byService != nil}
+	if r.Known && has != l.digest {
+		r.Endpoints = l.endpoints
+	}
+	return r
+}
+
+// Merge takes over another instance's reading if it is newer.
+func (l *List) Merge(r Reading) {
+	if !r.Known {
+		return
+	}
+	readAt := time.Now().Add(-time.Duration(r.AgeMillis) * time.Millisecond)
+	l.mu.Lock()
+	same := l.byService != nil && r.Digest == l.digest
+	if same && readAt.After(l.readAt) {
+		l.readAt = readAt
+	}
+	l.mu.Unlock()
+	if same || (r.Endpoints == nil && r.Digest != digestOf(nil)) {
+		return
+	}
+	l.take(r.Endpoints, readAt)
+}
--- /dev/null
+++ b/loader/relay.go
@@ -0,0 +1,134 @@
+package loader
+
+import (
+	"net"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/checker"
+	"github.com/figseam/figseam/decoder"
+)
+
+// RelaySettings are the settings of an instance that relays opaque requests (an
+// entry) or keeps their configuration (a voter). Addresses are IP:port.
+type RelaySettings struct {
+	Instance   string             `json:"instance"`
+	DataCentre figseam.DataCentre `json:"data_centre"`
+	// Callers and Readiness are where an entry listens, Operators where a voter
+	// does; Peers and Metrics are for both.
+	Callers   string `json:"callers,omitempty"`
+	Readiness string `json:"readiness,omitempty"`
+	Operators string `json:"operators,omitempty"`
+	Peers     string `json:"peers"`
+	Metrics   string `json:"metrics"`
+	// Seeds are operators' addresses of voters. Peers listen on the same port on
+	// every instance, so only the host counts.
+	Seeds []string `json:"seeds"`
+	// DataFolder is where a voter keeps the log.
+	DataFolder string `json:"data_folder,omitempty"`
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool `json:"first_start,omitempty"`
+	// List is the address of the platform's list of endpoints.
+	List     string `json:"list"`
+	LogLevel string `json:"log_level,omitempty"`
+	// MemoryMegabytes is what the process may use.
+	MemoryMegabytes float64 `json:"memory_mb"`
+	// GraceSeconds is how long a process may take to end, EndpointDrainMillis how
+	// long after it is listed as leaving an endpoint may still get work.
+	GraceSeconds        float64 `json:"grace_s"`
+	EndpointDrainMillis float64 `json:"endpoint_drain_ms"`
+	// RetryShare, RetryAllowance and RetryWindowSeconds bound the repeats of all
+	// instances together: a share of the requests and a fixed number in a window.
+	RetryShare         float64 `json:"retry_share"`
+	RetryAllowance     float64 `json:"retry_allowance"`
+	RetryWindowSeconds float64 `json:"retry_window_s"`
+}
+
+// LoadRelay reads the settings file of an entry or a voter. The error is for a
+// file that cannot be read; faults in it are listed.
+func LoadRelay(path string, voter bool) (s RelaySettings, faults []decoder.Fault, err error) {
+	defer func() { err = eris.Wrap(err, "load settings") }()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return RelaySettings{}, nil, err
+	}
+	s, faults = ParseRelay(path, text, voter)
+	return s, faults, nil
+}
+
+// ParseRelay reads settings. The file name is only used in faults.
+func ParseRelay(file string, text []byte, voter bool) (RelaySettings, []decoder.Fault) {
+	root, faults := decoder.Parse(file, text)
+	if len(faults) > 0 {
+		return RelaySettings{}, faults
+	}
+	var s RelaySettings
+	faults = decoder.Struct(file, root, &s)
+	if s.LogLevel == "" {
+		s.LogLevel = zerolog.InfoLevel.String()
+	}
+	c := &check{file: file, root: root}
+	if len(faults) == 0 {
+		c.relay(s, voter)
+	}
+	return s, append(faults, c.faults...)
+}
+
+func (c *check) relay(s RelaySettings, voter bool) {
+	c.name("instance", s.Instance)
+	c.name("data_centre", string(s.DataCentre))
+	addresses := []struct{ field, address string }{{"peers", s.Peers}, {"metrics", s.Metrics}, {"list", s.List}}
+	if voter {
+		addresses = append(addresses, struct{ field, address string }{"operators", s.Operators})
+		c.name("data_folder", s.DataFolder)
+	} else {
+		addresses = append(addresses, struct{ field, address string }{"callers", s.Callers}, struct{ field, address string }{"readiness", s.Readiness})
+	}
+	for _, f := range addresses {
+		c.address(f.field, f.address)
+	}
+	for _, seed := range s.Seeds {
+		c.address("seeds", seed)
+	}
+	if _, err := zerolog.ParseLevel(s.LogLevel); err != nil {
+		c.add("log_level", checker.CodeOutOfRange, "expected debug, info, warn or error, found %q", s.LogLevel)
+	}
+	for _, f := range []struct {
+		field string
+		value float64
+	}{
+		{"memory_mb", s.MemoryMegabytes}, {"grace_s", s.GraceSeconds},
+		{"endpoint_drain_ms", s.EndpointDrainMillis}, {"retry_window_s", s.RetryWindowSeconds},
+	} {
+		if f.value <= 0 {
+			c.add(f.field, checker.CodeOutOfRange, "expected more than 0, found %g", f.value)
+		}
+	}
+	if s.RetryShare < 0 || s.RetryShare > 1 {
+		c.add("retry_share", checker.CodeOutOfRange, "expected 0 to 1, found %g", s.RetryShare)
+	}
+	if s.RetryAllowance < 0 {
+		c.add("retry_allowance", checker.CodeOutOfRange, "expected 0 or more, found %g", s.RetryAllowance)
+	}
+}
+
+// Self returns the name under which other instances reach this one.
+func (s RelaySettings) Self() figseam.InstanceID { return figseam.InstanceID(s.Peers) }
+
+// Voters returns the peer addresses of the seeds.
+func (s RelaySettings) Voters() []figseam.InstanceID {
+	_, port, err := net.SplitHostPort(s.Peers)
+	if err != nil {
+		return nil
+	}
+	var all []figseam.InstanceID
+	for _, seed := range s.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			all = append(all, figseam.InstanceID(net.JoinHostPort(host, port)))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/matcher/matcher.go
@@ -0,0 +1,77 @@
+// Package matcher finds the route of an opaque request: by its host, and among
+// the routes of that host by the longest prefix of its path.
+package matcher
+
+import (
+	"math/rand/v2"
+	"strings"
+
+	"github.com/figseam/figseam"
+)
+
+// Index finds routes of one table. It is immutable.
+type Index struct {
+	table  *figseam.Table
+	byHost map[string]map[string]*figseam.HostRoute
+}
+
+// New returns an index of a table.
+func New(table *figseam.Table) *Index {
+	x := &Index{table: table, byHost: map[string]map[string]*figseam.HostRoute{}}
+	for i := range table.Routes {
+		r := &table.Routes[i]
+		host := strings.ToLower(r.Host)
+		if x.byHost[host] == nil {
+			x.byHost[host] = map[string]*figseam.HostRoute{}
+		}
+		x.byHost[host][r.PathPrefix] = r
+	}
+	return x
+}
+
+// Table returns the table of the index.
+func (x *Index) Table() *figseam.Table { return x.table }
+
+// Find returns the route of a host and path. Prefixes end with a slash, so only
+// the path's own slashes are candidates.
+func (x *Index) Find(host, path string) (*figseam.HostRoute, bool) {
+	routes, ok := x.byHost[strings.ToLower(host)]
+	if !ok {
+		routes, ok = x.byHost[withoutPort(strings.ToLower(host))]
+	}
+	if !ok {
+		return nil, false
+	}
+	for end := len(path); end > 0; end = strings.LastIndexByte(path[:end-1], '/') + 1 {
+		if r, ok := routes[path[:end]]; ok {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// PickService draws a service of the route by weight.
+func PickService(r *figseam.HostRoute) string {
+	total := 0
+	for _, w := range r.Split {
+		total += w.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	at := rand.IntN(total)
+	for _, w := range r.Split {
+		if at < w.Weight {
+			return w.Service
+		}
+		at -= w.Weight
+	}
+	return ""
+}
+
+func withoutPort(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		return host[:i]
+	}
+	return host
+}
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	dialMillis = 1000
+	dialMillis = 600
 	// heartbeatMillis is how often an open connection is tried, pongMillis how
 	// long the answer may take.
-	heartbeatMillis = 2000
-	pongMillis      = 2000
+	heartbeatMillis = 700
+	pongMillis      = 800
 	// firstBackoffMillis and longestBackoffMillis bound the pause between two
 	// dials of a peer that cannot be reached.
 	firstBackoffMillis   = 50
-	longestBackoffMillis = 2000
+	longestBackoffMillis = 400
 	// queuedFrames bounds what waits for a slow or silent peer.
 	queuedFrames = 1024
 	writeMillis  = 3000
--- /dev/null
+++ b/relayer/calling.go
@@ -0,0 +1,104 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/selector"
+)
+
+const (
+	// callWorkMillis is what a call is expected to keep an endpoint busy.
+	callWorkMillis = 10
+	// connectTries bounds the endpoints to which no connection could be opened.
+	connectTries = 4
+	// patienceOfTarget times the route's target is how long an answer may take
+	// before an idempotent request is sent elsewhere.
+	patienceOfTarget = 1.2
+)
+
+// call carries a request to a plain service.
+func (t *task) call(ctx context.Context) {
+	var failed *answer
+	code := explainer.NoEndpoint
+	for connects := 0; ; {
+		choice, ok := t.choose(figseam.StageNone, t.DataCentre, 0)
+		if !ok || (t.sends > 0 && !t.mayRepeat()) {
+			break
+		}
+		e := choice.Candidate.Endpoint
+		began := time.Now()
+		var a answer
+		a, code = t.callOnce(ctx, e)
+		t.note(e, "call", choice, code, began)
+		t.avoid[e.ID] = true
+		t.mayHaveRun = t.mayHaveRun || (code != explainer.NotConnected && code != explainer.EndpointRefused)
+		if code == explainer.NotConnected {
+			if connects++; connects < connectTries {
+				continue
+			}
+			break
+		}
+		t.sends++
+		if code == "" && (a.status < http.StatusInternalServerError || t.route.Semantics != figseam.Idempotent) {
+			t.write(a, explainer.Answered)
+			return
+		}
+		if code == "" {
+			failed = &a
+		}
+		if code == explainer.CallerGone {
+			t.gone()
+			return
+		}
+		if code == explainer.DeadlinePassed || (t.mayHaveRun && t.route.Semantics != figseam.Idempotent) {
+			break
+		}
+	}
+	switch {
+	case failed != nil:
+		t.write(*failed, explainer.AnsweredFailure)
+	case code == explainer.DeadlinePassed:
+		t.expire()
+	default:
+		t.fail(code)
+	}
+}
+
+// callOnce sends the request to one endpoint and reads the whole answer.
+func (t *task) callOnce(ctx context.Context, e figseam.ListedEndpoint) (a answer, code figseam.Code) {
+	work := t.Board.Begin(e, callWorkMillis, 0)
+	verdict := selector.Bad
+	defer func() { work.End(verdict) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if t.route.Semantics == figseam.Idempotent && t.sends+1 < t.route.MaxAttempts && t.Budget.Left(t.service) >= 1 {
+		patience := time.Duration(patienceOfTarget * float64(t.route.TargetMillis) * float64(time.Millisecond))
+		timer := time.AfterFunc(patience, func() { cancel(errSilent) })
+		defer timer.Stop()
+	}
+	response, head, code := t.send(ctx, figseam.EndpointCall{Request: t.request, Endpoint: e, Deadline: t.request.Deadline})
+	if head.Load != nil {
+		t.Board.Load(e, *head.Load, callWorkMillis)
+	}
+	if response != nil {
+		defer response.Close()
+		work.Answered()
+	}
+	if code != "" {
+		verdict = verdictOf(code)
+		return answer{}, code
+	}
+	if response.Status < http.StatusMultipleChoices && !head.Signed {
+		return answer{}, explainer.AnswerSpoiled
+	}
+	body, code := readWhole(ctx, response)
+	verdict = verdictOf(code)
+	if code == "" && response.Status >= http.StatusInternalServerError {
+		verdict = selector.Bad
+	}
+	return answer{status: response.Status, header: response.Header, body: body}, code
+}
--- /dev/null
+++ b/relayer/generating.go
@@ -0,0 +1,267 @@
+package relayer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/selector"
+)
+
+const (
+	// prefillTokensPerMilli is what a prefill engine is expected to read.
+	prefillTokensPerMilli = 50
+	// decodeMillisPerToken is what a token is expected to take; it only ranks
+	// engines.
+	decodeMillisPerToken = 1
+	// prefillPatienceMillis and prefillPatienceFactor bound a prefill call: so many
+	// times what it is expected to take, and the fixed part.
+	prefillPatienceMillis = 150
+	prefillPatienceFactor = 2
+	// firstEventMillis is how long the first event of a stream that may be sent
+	// elsewhere may take, and gapMillis the time between two events.
+	firstEventMillis = 1000
+	gapMillis        = 1000
+	// handleMarginMillis is how long before its end a prefill's result counts as
+	// gone.
+	handleMarginMillis = 100
+)
+
+// prefilled is the result of a prefill on the engine that has it.
+type prefilled struct {
+	engine figseam.ListedEndpoint
+	handle string
+	until  figseam.Deadline
+}
+
+func (p *prefilled) source() string {
+	if p == nil {
+		return ""
+	}
+	return p.engine.Address + "/" + p.handle
+}
+
+// generate carries a request to model engines: a prefill, then a decode engine
+// that streams the answer, again behind the last event if the route allows it.
+func (t *task) generate(ctx context.Context) {
+	code := explainer.NoEndpoint
+	prefilling := true
+	for connects := 0; connects < connectTries; {
+		var source *prefilled
+		if prefilling {
+			source, code = t.prefill(ctx)
+			if code == explainer.CallerGone || code == explainer.DeadlinePassed {
+				break
+			}
+			if code == explainer.EndpointRefused && t.sends >= t.route.MaxAttempts {
+				break
+			}
+		}
+		if t.sends > 0 && !t.mayRepeat() {
+			t.drop(source)
+			break
+		}
+		code = t.decode(ctx, source)
+		if code == "" {
+			return
+		}
+		if code == explainer.NotConnected {
+			t.drop(source)
+			connects++
+			continue
+		}
+		if code == explainer.NoEndpoint || code == explainer.CallerGone || code == explainer.DeadlinePassed {
+			t.drop(source)
+			break
+		}
+		// A further prefill would count as an attempt, and an engine that refused may
+		// lack the result of this one: the next decode engine reads the prompt itself.
+		prefilling = false
+		if code == explainer.EndpointRefused {
+			t.drop(source)
+		}
+		if t.mayHaveRun && !t.route.Semantics.Repeatable() {
+			break
+		}
+	}
+	switch {
+	case code == explainer.CallerGone:
+		t.gone()
+	case code == explainer.DeadlinePassed:
+		t.expire()
+	default:
+		t.fail(code)
+	}
+}
+
+func (t *task) drop(p *prefilled) {
+	if p != nil && !p.until.Passed() {
+		t.release(p.engine, p.handle)
+	}
+}
+
+// prefill has the prompt read. Without a result the decode engine reads it: after
+// a call that broke, since only calls that were refused are known to be over.
+func (t *task) prefill(ctx context.Context) (*prefilled, figseam.Code) {
+	for {
+		choice, ok := t.choose(figseam.StageForPrefill, t.DataCentre, 0)
+		if !ok {
+			return nil, explainer.NoEndpoint
+		}
+		if t.sends > 0 && !t.mayRepeat() {
+			return nil, explainer.RetriesSpent
+		}
+		began := time.Now()
+		p, code := t.prefillOnce(ctx, choice)
+		t.note(choice.Candidate.Endpoint, "prefill", choice, code, began)
+		if code == "" {
+			return p, ""
+		}
+		t.avoid[choice.Candidate.Endpoint.ID] = true
+		if code == explainer.NotConnected {
+			continue
+		}
+		if code != explainer.EndpointRefused {
+			return nil, code
+		}
+		t.sends++
+		t.Budget.Spend(t.service)
+		if t.sends >= t.route.MaxAttempts {
+			return nil, code
+		}
+	}
+}
+
+func (t *task) prefillOnce(ctx context.Context, choice selector.Choice) (p *prefilled, code figseam.Code) {
+	e := choice.Candidate.Endpoint
+	expected := float64(t.request.Prompt.InputTokens) / prefillTokensPerMilli
+	work := t.Board.Begin(e, expected, 0)
+	verdict := selector.Bad
+	defer func() { work.End(verdict) }()
+	patience := prefillPatienceMillis + prefillPatienceFactor*(expected+choice.Candidate.WorkMillis)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(time.Duration(patience*float64(time.Millisecond)), func() { cancel(errSilent) })
+	defer timer.Stop()
+	response, head, code := t.send(ctx, figseam.EndpointCall{
+		Request: t.request, Endpoint: e, Stage: figseam.StageForPrefill, Deadline: t.request.Deadline,
+	})
+	if head.Load != nil {
+		t.Board.Load(e, *head.Load, expected)
+	}
+	if response != nil {
+		defer response.Close()
+		work.Answered()
+	}
+	if code != "" {
+		verdict = verdictOf(code)
+		return nil, code
+	}
+	body, code := readWhole(ctx, response)
+	verdict = verdictOf(code)
+	if code != "" {
+		return nil, code
+	}
+	if response.Status != http.StatusOK {
+		verdict = selector.Bad
+		return nil, explainer.PrefillFailed
+	}
+	handle, err := t.Wire.DecodeHandle(body)
+	if err != nil {
+		verdict = selector.Bad
+		return nil, explainer.AnswerSpoiled
+	}
+	until := figseam.DeadlineAfterMillis(max(0, t.handleMillis()-handleMarginMillis))
+	return &prefilled{engine: e, handle: handle.ID, until: until}, ""
+}
+
+// handleMillis returns how long engines of the service keep a prefill's result.
+func (t *task) handleMillis() int64 {
+	s := t.index.Load().Table().Services[t.service]
+	if s.Engine == nil {
+		return 0
+	}
+	return s.Engine.HandleMillis
+}
+
+// decode sends the request to a decode engine and passes the stream on. The code
+// is empty if the request has ended.
+func (t *task) decode(ctx context.Context, source *prefilled) figseam.Code {
+	home := t.DataCentre
+	if source != nil {
+		home = source.engine.DataCentre
+	}
+	choice, ok := t.choose(figseam.StageForDecode, home, t.memoryTokens())
+	if !ok {
+		return explainer.NoEndpoint
+	}
+	e := choice.Candidate.Endpoint
+	began := time.Now()
+	tokens := t.request.Prompt.InputTokens + t.request.Prompt.OutputTokens
+	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, decodeMillisPerToken*float64(t.request.Prompt.OutputTokens), tokens)}
+	code := s.run(ctx, figseam.EndpointCall{
+		Request: t.request, Endpoint: e, Stage: figseam.StageForDecode, Source: source.source(), Deadline: t.request.Deadline,
+	})
+	t.note(e, "decode", choice, code, began)
+	if code != "" {
+		t.avoid[e.ID] = true
+	}
+	if code != explainer.NotConnected {
+		t.sends++
+	}
+	if code == "" {
+		t.logEnd(levelOf(s.status), s.code, s.status)
+	}
+	return code
+}
+
+func (t *task) memoryTokens() int {
+	s := t.index.Load().Table().Services[t.service]
+	if s.Engine == nil {
+		return 0
+	}
+	return s.Engine.MemoryTokens
+}
+
+// streamPlainly passes the stream of a service without stages on.
+func (t *task) streamPlainly(ctx context.Context) {
+	choice, ok := t.choose(figseam.StageNone, t.DataCentre, 0)
+	if !ok {
+		t.fail(explainer.NoEndpoint)
+		return
+	}
+	e := choice.Candidate.Endpoint
+	began := time.Now()
+	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, callWorkMillis, 0)}
+	code := s.run(ctx, figseam.EndpointCall{Request: t.request, Endpoint: e, Deadline: t.request.Deadline})
+	t.note(e, "stream", choice, code, began)
+	switch code {
+	case "":
+		t.logEnd(levelOf(s.status), s.code, s.status)
+	case explainer.CallerGone:
+		t.gone()
+	case explainer.DeadlinePassed:
+		t.expire()
+	default:
+		t.fail(code)
+	}
+}
+
+// watch ends a sending that may be repeated elsewhere when nothing comes for too
+// long. The returned function starts the time anew.
+func (s *stream) watch(cancel context.CancelCauseFunc) (again func(), stop func()) {
+	if !s.route.Semantics.Repeatable() || s.sends+1 >= s.route.MaxAttempts || s.Budget.Left(s.service) < 1 {
+		return func() {}, func() {}
+	}
+	timer := time.AfterFunc(firstEventMillis*time.Millisecond, func() { cancel(errSilent) })
+	return func() { timer.Reset(gapMillis * time.Millisecond) }, func() { timer.Stop() }
+}
+
+// noteLoad notes what a decode engine said of its load.
+func (s *stream) noteLoad(head figseam.AnswerHead) {
+	if head.Load != nil {
+		s.Board.Load(s.endpoint, *head.Load, decodeMillisPerToken*float64(s.request.Prompt.OutputTokens))
+	}
+}
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,227 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/budgeter"
+	"github.com/figseam/figseam/connector"
+	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/lister"
+	"github.com/figseam/figseam/matcher"
+	"github.com/figseam/figseam/selector"
+)
+
+const (
+	// bodyMillis bounds the time between two parts of a caller's body.
+	bodyMillis = 5000
+	// defaultBodyBytes bounds a body where the table names no limit.
+	defaultBodyBytes = 4 << 20
+	// writeSlackMillis is how long behind its deadline an answer may still be
+	// written.
+	writeSlackMillis = 500
+)
+
+// errTimeout ends a request at its deadline.
+var errTimeout = errors.New("deadline passed")
+
+// Settings are the parts that a relayer works with.
+type Settings struct {
+	Wire       figseam.Wire
+	Connector  *connector.Connector
+	List       *lister.List
+	Board      *selector.Board
+	Budget     *budgeter.Budget
+	DataCentre figseam.DataCentre
+	Meter      Meter
+	Log        zerolog.Logger
+}
+
+// Meter counts what a relayer does.
+type Meter interface {
+	// Relayed counts an ended request and notes how long it took.
+	Relayed(semantics figseam.Semantics, code figseam.Code, status int, took time.Duration)
+	// FirstEvent notes the time to the first event of a stream.
+	FirstEvent(took time.Duration)
+}
+
+// Relayer serves callers. It is safe for concurrent use.
+type Relayer struct {
+	Settings
+	index  atomic.Pointer[matcher.Index]
+	active atomic.Int64
+}
+
+// New returns a relayer that refuses everything until it has a table.
+func New(settings Settings) *Relayer { return &Relayer{Settings: settings} }
+
+// SetTable puts a table in force if its version is higher.
+func (r *Relayer) SetTable(t *figseam.Table) {
+	for {
+		old := r.index.Load()
+		if old != nil && old.Table().Version >= t.Version {
+			return
+		}
+		if r.index.CompareAndSwap(old, matcher.New(t)) {
+			return
+		}
+	}
+}
+
+// Version returns the version in force, 0 before there is one.
+func (r *Relayer) Version() uint64 {
+	if x := r.index.Load(); x != nil {
+		return x.Table().Version
+	}
+	return 0
+}
+
+// Active returns how many requests are under way.
+func (r *Relayer) Active() int64 { return r.active.Load() }
+
+// task is one request on its way.
+type task struct {
+	*Relayer
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	request figseam.OpaqueRequest
+	route   *figseam.HostRoute
+	service string
+	version uint64
+	began   time.Time
+	sends   int
+	// mayHaveRun tells that an endpoint was sent the request and did not prove
+	// that it left it alone.
+	mayHaveRun bool
+	avoid      map[string]bool
+	steps      []step
+	wroteHead  bool
+}
+
+// step is one sending, for the log.
+type step struct {
+	Endpoint string  `json:"endpoint"`
+	Stage    string  `json:"stage"`
+	Reason   string  `json:"reason"`
+	Charge   float64 `json:"charge_ms"`
+	Result   string  `json:"result"`
+	Millis   int64   `json:"ms"`
+}
+
+// ServeHTTP implements [http.Handler].
+func (r *Relayer) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.active.Add(1)
+	defer r.active.Add(-1)
+	t := &task{
+		Relayer: r, writer: w, control: http.NewResponseController(w), began: time.Now(), avoid: map[string]bool{},
+	}
+	if !t.admit(q) {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(q.Context(), t.request.Deadline.Time(), errTimeout)
+	defer cancel()
+	_ = t.control.SetWriteDeadline(t.request.Deadline.Time().Add(writeSlackMillis * time.Millisecond))
+	r.Budget.Request(t.service)
+	switch {
+	case t.route.Semantics.Streams() && t.staged():
+		t.generate(ctx)
+	case t.route.Semantics.Streams():
+		t.streamPlainly(ctx)
+	default:
+		t.call(ctx)
+	}
+}
+
+// admit reads the request and finds its route. It reports false after it has
+// answered.
+func (t *task) admit(q *http.Request) bool {
+	index := t.index.Load()
+	if index == nil {
+		t.refuse(http.StatusServiceUnavailable, explainer.NoConfig)
+		return false
+	}
+	t.version = index.Table().Version
+	request, err := t.Wire.DecodeRequest(q)
+	if err != nil {
+		t.refuse(http.StatusBadRequest, explainer.BadRequest)
+		return false
+	}
+	t.request = request
+	route, ok := index.Find(request.Host, request.Path)
+	if !ok {
+		t.refuse(http.StatusNotFound, explainer.UnknownRoute)
+		return false
+	}
+	t.route = route
+	t.service = matcher.PickService(route)
+	limit := index.Table().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, status, code := t.readBody(q, limit)
+	if code != "" {
+		t.refuse(status, code)
+		return false
+	}
+	end := figseam.DeadlineAt(t.began.Add(time.Duration(route.TimeoutMillis) * time.Millisecond))
+	t.request = request.WithBody(body).WithDeadline(end)
+	return true
+}
+
+func (t *task) readBody(q *http.Request, limit int64) ([]byte, int, figseam.Code) {
+	if q.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
+	}
+	if q.ContentLength == 0 {
+		return nil, 0, ""
+	}
+	_ = t.control.SetReadDeadline(time.Now().Add(bodyMillis * time.Millisecond))
+	body, err := io.ReadAll(io.LimitReader(q.Body, limit+1))
+	switch {
+	case err != nil:
+		return nil, http.StatusBadRequest, explainer.BadRequest
+	case int64(len(body)) > limit:
+		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
+	}
+	_ = t.control.SetReadDeadline(time.Time{})
+	return body, 0, ""
+}
+
+// staged reports whether the service has engines for decode.
+func (t *task) staged() bool {
+	for _, e := range t.List.Service(t.service) {
+		if e.Stage != figseam.StageNone {
+			return true
+		}
+	}
+	return false
+}
+
+// choose returns the best endpoint for a stage.
+func (t *task) choose(stage figseam.EndpointStage, home figseam.DataCentre, memory int) (selector.Choice, bool) {
+	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != stage || t.avoid[e.ID] }
+	candidates := t.Board.Candidates(t.List.Service(t.service), skip, 0, memory)
+	return selector.Choose(candidates, home, randomSource())
+}
+
+func randomSource() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// mayRepeat asks whether the request may be sent once more.
+func (t *task) mayRepeat() bool {
+	return t.sends < t.route.MaxAttempts && t.Budget.Take(t.service)
+}
+
+func (t *task) note(e figseam.ListedEndpoint, stage string, c selector.Choice, result figseam.Code, began time.Time) {
+	t.steps = append(t.steps, step{
+		Endpoint: e.ID, Stage: stage, Reason: string(c.Reason), Charge: float64(int(c.Millis*10)) / 10,
+		Result: string(result), Millis: time.Since(began).Milliseconds(),
+	})
+}
--- a/replicator/client.go
+++ b/replicator/client.go
@@ -19,15 +19,16 @@
 type Client struct {
 	local     *Node
 	transport Transport
-	voters    []figseam.InstanceID
+	voters    func() []figseam.InstanceID
 
 	// mu guards leader.
 	mu     sync.Mutex
 	leader figseam.InstanceID
 }
 
-// NewClient returns a client. local is this instance's replica or nil.
-func NewClient(local *Node, transport Transport, voters []figseam.InstanceID) *Client {
+// NewClient returns a client. local is this instance's replica or nil; voters
+// returns the instances to try.
+func NewClient(local *Node, transport Transport, voters func() []figseam.InstanceID) *Client {
 	return &Client{local: local, transport: transport, voters: voters}
 }
 
@@ -73,7 +74,7 @@
 	if c.leader != "" {
 		order = append(order, c.leader)
 	}
-	for _, v := range c.voters {
+	for _, v := range c.voters() {
 		if v != c.leader {
 			order = append(order, v)
 		}
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -89,6 +89,9 @@
 	return g
 }
 
+// names returns the instances whose replicas are to vote.
+func (g *group) names() []figseam.InstanceID { return g.voters }
+
 func (g *group) start(t require.TestingT, name figseam.InstanceID) {
 	r := g.replicas[name]
 	l := &ledger{}
--- a/replicator/grouping.go
+++ b/replicator/grouping.go
@@ -16,6 +16,9 @@
 	maintainMillis = 300
 	// caughtUpEntries is how far a learner may be behind when it becomes a voter.
 	caughtUpEntries = 16
+	// silentVoterMillis is how long a voter that others may replace must have been
+	// silent before it is removed.
+	silentVoterMillis = 1500
 )
 
 // maintainGroup founds or joins a group while the replica is fresh, and changes
@@ -32,22 +35,25 @@
 		n.mu.Lock()
 		outside := indexOf(n.group.Voters, n.self.Identity) < 0 && indexOf(n.group.Learners, n.self.Identity) < 0
 		leading := n.role == leader
+		// A replica that was removed while it was cut off does not know of it.
+		forgotten := n.settings.Open && time.Since(n.contact) > silentVoterMillis*time.Millisecond
 		n.mu.Unlock()
 		switch {
 		case leading:
 			n.changeGroup(ctx)
-		case outside:
+		case outside || forgotten:
 			n.findGroup(ctx)
 		}
 	}
 }
 
-// findGroup asks the voters' instances: if a group exists it asks to be taken
-// in; if all are fresh, the one with the lowest name founds the group.
+// findGroup asks the instances where the group may be: if it exists there, this
+// replica asks to be taken in; if all are fresh, the one with the lowest name
+// founds the group.
 func (n *Node) findGroup(ctx context.Context) {
 	found := []Replica{n.self}
 	complete := true
-	for _, instance := range n.settings.Voters {
+	for _, instance := range n.whereToLook() {
 		if instance == n.settings.Instance {
 			continue
 		}
@@ -58,27 +64,63 @@
 		case err != nil:
 			complete = false
 		case !status.Fresh:
-			n.join(ctx, instance, status)
-			return
+			complete = false
+			if n.join(ctx, instance, status) {
+				return
+			}
 		default:
 			found = append(found, status.Self)
 		}
 	}
-	if complete && slices.Contains(n.settings.Voters, n.settings.Instance) && n.settings.Instance == slices.Min(n.settings.Voters) {
+	if complete && n.isFounder() {
 		n.foundGroup(found)
 	}
 }
 
-func (n *Node) join(ctx context.Context, instance figseam.InstanceID, status StatusReply) {
+// whereToLook returns the instances of the settings and those of the last group
+// that this replica knew.
+func (n *Node) whereToLook() []figseam.InstanceID {
+	look := slices.Clone(n.settings.Voters)
+	if !n.settings.Open {
+		return look
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, v := range n.group.Voters {
+		if !slices.Contains(look, v.Instance) {
+			look = append(look, v.Instance)
+		}
+	}
+	return look
+}
+
+func (n *Node) isFounder() bool {
+	if n.settings.Open && !n.settings.FirstStart {
+		return false
+	}
+	return slices.Contains(n.settings.Voters, n.settings.Instance) && n.settings.Instance == slices.Min(n.settings.Voters)
+}
+
+// join asks the leader that an instance knows of. It reports whether this
+// replica was taken in.
+func (n *Node) join(ctx context.Context, instance figseam.InstanceID, status StatusReply) bool {
 	if status.Leader.Instance != "" {
 		instance = status.Leader.Instance
 	}
 	if instance == n.settings.Instance {
-		return
+		return false
 	}
 	call, cancel := context.WithTimeout(ctx, requestMillis*time.Millisecond)
 	defer cancel()
-	_, _ = n.transport.Join(call, instance, JoinRequest{Group: n.settings.Group, Replica: n.self})
+	request := JoinRequest{Group: n.settings.Group, Replica: n.self, FirstStart: n.settings.FirstStart && n.isFresh()}
+	reply, err := n.transport.Join(call, instance, request)
+	return err == nil && reply.Accepted
+}
+
+func (n *Node) isFresh() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fresh()
 }
 
 // foundGroup writes the first entry. The others need not have it to vote: they
@@ -89,7 +131,7 @@
 	if !n.fresh() || n.broken != nil {
 		return
 	}
-	command, err := cbor.Marshal(Group{Voters: voters})
+	command, err := cbor.Marshal(Group{Voters: voters, Size: len(voters)})
 	if err != nil {
 		return
 	}
@@ -116,6 +158,9 @@
 	}
 	next.Learners = slices.DeleteFunc(slices.Clone(next.Learners), func(o Replica) bool { return o.Instance == r.Replica.Instance })
 	next.Learners = append(next.Learners, r.Replica)
+	if n.settings.Open && r.FirstStart {
+		next.Size++
+	}
 	reply.Accepted = n.proposeGroup(ctx, next) == nil
 	return reply
 }
@@ -160,7 +205,7 @@
 // replaced when its instance has another voter with a newer identity, which
 // stands behind it in the list.
 func (n *Node) nextGroup() (Group, bool) {
-	g := Group{Voters: slices.Clone(n.group.Voters), Learners: slices.Clone(n.group.Learners)}
+	g := Group{Voters: slices.Clone(n.group.Voters), Learners: slices.Clone(n.group.Learners), Size: n.group.Size}
 	for i, v := range g.Voters {
 		newer := slices.ContainsFunc(g.Voters[i+1:], func(o Replica) bool { return o.Instance == v.Instance })
 		if newer {
@@ -172,11 +217,29 @@
 		p := n.peers[l.Identity]
 		caughtUp := p != nil && p.match > 0 && p.match+caughtUpEntries >= n.lastIndex() &&
 			time.Since(p.answered) < electionMinMillis*time.Millisecond
-		if caughtUp && slices.Contains(n.settings.Voters, l.Instance) {
+		if caughtUp && (n.settings.Open || slices.Contains(n.settings.Voters, l.Instance)) {
 			g.Learners = slices.Delete(g.Learners, i, i+1)
 			g.Voters = append(g.Voters, l)
 			return g, true
 		}
 	}
+	return n.withoutSilentVoter(g)
+}
+
+// withoutSilentVoter removes a voter that does not answer from an open group
+// that has more voters than it is meant to have. The removed replica joins again
+// should it come back.
+func (n *Node) withoutSilentVoter(g Group) (Group, bool) {
+	if !n.settings.Open || len(g.Voters) <= g.Size {
+		return g, false
+	}
+	for i, v := range g.Voters {
+		p := n.peers[v.Identity]
+		if p == nil || time.Since(p.answered) < silentVoterMillis*time.Millisecond {
+			continue
+		}
+		g.Voters = slices.Delete(g.Voters, i, i+1)
+		return g, true
+	}
 	return g, false
 }
--- a/replicator/leader_test.go
+++ b/replicator/leader_test.go
@@ -184,7 +184,7 @@
 					if r.node == nil {
 						return
 					}
-					client := replicator.NewClient(r.node, link{g, n}, g.voters)
+					client := replicator.NewClient(r.node, link{g, n}, g.names)
 					d := deduplicator.New(n, client, func(figseam.InstanceID) bool { return false })
 					tasks.Go(func() { s.call(d, key) })
 				},
@@ -204,7 +204,7 @@
 // TestClientFindsLeader proposes through an instance without a replica.
 func TestClientFindsLeader(t *testing.T) {
 	withGroup(t, func(t *testing.T, g *group) {
-		client := replicator.NewClient(nil, link{g, "outside"}, g.voters)
+		client := replicator.NewClient(nil, link{g, "outside"}, g.names)
 		for i := range 5 {
 			l := g.awaitLeader(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
@@ -227,7 +227,7 @@
 			g.isolate(n, true)
 		}
 		time.Sleep(5 * time.Second)
-		client := replicator.NewClient(g.replicas["b"].node, link{g, "b"}, g.voters)
+		client := replicator.NewClient(g.replicas["b"].node, link{g, "b"}, g.names)
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 		defer cancel()
 		_, err := client.Propose(ctx, figseam.Command{Machine: "ledger", Body: []byte("x")})
--- a/replicator/messages.go
+++ b/replicator/messages.go
@@ -17,6 +17,8 @@
 type Group struct {
 	Voters   []Replica `cbor:"1,keyasint" json:"voters"`
 	Learners []Replica `cbor:"2,keyasint" json:"learners"`
+	// Size is how many voters an open group is meant to have.
+	Size int `cbor:"3,keyasint,omitempty" json:"size,omitempty"`
 }
 
 // Header stands in every request. A request for another identity is refused, so
@@ -91,6 +93,9 @@
 type JoinRequest struct {
 	Group   uint32  `cbor:"1,keyasint"`
 	Replica Replica `cbor:"2,keyasint"`
+	// FirstStart tells that the replica is one of those that an open group is
+	// meant to consist of, and takes nobody's place.
+	FirstStart bool `cbor:"3,keyasint,omitempty"`
 }
 
 // JoinReply answers a JoinRequest.
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -75,6 +75,13 @@
 	// Voters names the instances whose replicas are to vote. A new group is
 	// founded when all of them are there and none has any data.
 	Voters []figseam.InstanceID
+	// Open lets every replica that asks to join become a voter, and lets voters
+	// that stopped answering be removed once others have taken their place. Voters
+	// are then only where a replica looks for the group.
+	Open bool
+	// FirstStart lets a replica of an open group found it, or join it as one of
+	// those that the group is meant to consist of.
+	FirstStart bool
 	// SnapshotEntries is after how many entries a snapshot is taken; 0 for the
 	// default.
 	SnapshotEntries uint64
@@ -233,6 +240,21 @@
 	return ended
 }
 
+// InQuorum reports whether this replica leads a majority that answers, or lately
+// heard of a leader and is a voter.
+func (n *Node) InQuorum() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	switch {
+	case n.broken != nil:
+		return false
+	case n.role == leader:
+		return n.majorityAnswers(now)
+	}
+	return now.Sub(n.contact) < electionMinMillis*time.Millisecond
+}
+
 // Self returns this replica.
 func (n *Node) Self() Replica { return n.self }
 
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -198,7 +198,7 @@
 		MaxIdleConnsPerHost: idleConnections,
 	}}
 	dial := dialer.New(client)
-	proposer := replicator.NewClient(i.node, transport{i.peers}, i.voters())
+	proposer := replicator.NewClient(i.node, transport{i.peers}, i.voters)
 	i.canceller = canceller.New(dial, i.gone, i.log)
 	i.host = scheduler.NewHost(i.members, i.endpoints, i.canceller, i.members.Dead)
 	i.router = scheduler.NewRouter(i.members, i.store.Config, i.host, i.peers)
--- /dev/null
+++ b/selector/selector.go
@@ -0,0 +1,133 @@
+package selector
+
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/figseam/figseam"
+)
+
+const (
+	// farMillis is what an endpoint in another data centre is charged: the longer
+	// way there, and the bytes between data centres.
+	farMillis = 25
+	// failureMillis is charged in proportion to the share of failures beyond that
+	// of the service.
+	failureMillis = 600
+	// silentMillis is charged for an endpoint that has not answered for unusually
+	// long while it has work.
+	silentMillis = 5000
+	// spreadMillis is the width of the lot that is drawn among equals.
+	spreadMillis = 2
+	// recoverMillis is how long an endpoint that failed in a row is left alone,
+	// for each failure, up to restMost failures.
+	restMillis = 300
+	restMost   = 8
+	// failuresInRow is how many failures in a row make an endpoint rest.
+	failuresInRow = 2
+)
+
+// Candidate is an endpoint with what is believed of it.
+type Candidate struct {
+	Endpoint figseam.ListedEndpoint
+	// WorkMillis is how long the work under way is expected to keep it busy: this
+	// instance's own and what the endpoint said of others'.
+	WorkMillis float64
+	// FailureShare is the share of its last answers that failed, 0 to 1.
+	FailureShare float64
+	// InRow is how many answers in a row failed; SinceFailureMillis is when the
+	// last one did.
+	InRow              int
+	SinceFailureMillis float64
+	// SilentMillis is how long the endpoint has had work without any answer.
+	SilentMillis float64
+	// PatienceMillis is how long its answers may take.
+	PatienceMillis float64
+	// Trying tells that a request is already under way to find out whether the
+	// endpoint has recovered.
+	Trying bool
+	// Full tells that no place is free.
+	Full bool
+}
+
+// Choice is a decision.
+type Choice struct {
+	Candidate Candidate
+	// Millis is the charge by which it was chosen.
+	Millis float64
+	Reason figseam.Code
+}
+
+// Reasons of choices.
+const (
+	ReasonLeastWork figseam.Code = "least_work"
+	ReasonTrial     figseam.Code = "trial"
+	ReasonLastHope  figseam.Code = "last_hope"
+)
+
+// Choose returns the best of the candidates for an instance in a data centre.
+// Endpoints that rest are used only if there is no other. It reports false when
+// there is none with a free place.
+func Choose(candidates []Candidate, home figseam.DataCentre, random *rand.Rand) (Choice, bool) {
+	usual := usualFailures(candidates)
+	best, fallback := Choice{Millis: math.Inf(1)}, Choice{Millis: math.Inf(1)}
+	for _, c := range candidates {
+		if c.Full {
+			continue
+		}
+		millis := charge(c, home, usual) + random.Float64()*spreadMillis
+		if Rests(c) {
+			if millis < fallback.Millis {
+				fallback = Choice{Candidate: c, Millis: millis, Reason: ReasonLastHope}
+			}
+			continue
+		}
+		if millis < best.Millis {
+			best = Choice{Candidate: c, Millis: millis, Reason: reasonOf(c)}
+		}
+	}
+	if math.IsInf(best.Millis, 1) {
+		return fallback, !math.IsInf(fallback.Millis, 1)
+	}
+	return best, true
+}
+
+func reasonOf(c Candidate) figseam.Code {
+	if c.InRow >= failuresInRow {
+		return ReasonTrial
+	}
+	return ReasonLeastWork
+}
+
+// Rests reports whether an endpoint is left alone: after failures in a row, for
+// a while, and then until a single request has shown that it is well.
+func Rests(c Candidate) bool {
+	if c.InRow < failuresInRow {
+		return false
+	}
+	rest := float64(restMillis * min(c.InRow, restMost))
+	return c.SinceFailureMillis < rest || c.Trying
+}
+
+func charge(c Candidate, home figseam.DataCentre, usual float64) float64 {
+	millis := c.WorkMillis
+	if c.Endpoint.DataCentre != home {
+		millis += farMillis
+	}
+	if beyond := c.FailureShare - usual; beyond > 0 {
+		millis += beyond * failureMillis
+	}
+	if c.SilentMillis > c.PatienceMillis {
+		millis += silentMillis
+	}
+	return millis
+}
+
+// usualFailures returns the median share of failures.
+func usualFailures(candidates []Candidate) float64 {
+	shares := make([]float64, 0, len(candidates))
+	for _, c := range candidates {
+		shares = append(shares, c.FailureShare)
+	}
+	return median(shares)
+}
