--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -47,6 +48,7 @@
 	relayAt  time.Time
 	returnAt time.Time
 	next     int
+	keeper   atomic.Pointer[figseam.InstanceID]
 }
 
 // NewFollower returns a follower. self names this instance; followers may be nil.
@@ -56,6 +58,14 @@
 	return &Follower{self: self, call: call, where: where, has: has, take: take, followers: followers, log: log}
 }
 
+// Keeper returns the keeping instance that is followed, empty for none.
+func (f *Follower) Keeper() figseam.InstanceID {
+	if k := f.keeper.Load(); k != nil {
+		return *k
+	}
+	return ""
+}
+
 // Run follows until ctx ends. It returns a channel that is closed at its end.
 func (f *Follower) Run(ctx context.Context) <-chan struct{} {
 	ended := make(chan struct{})
@@ -162,6 +172,7 @@
 		f.log.Info().Str("keeper", string(to)).Msg("keeper regained")
 	}
 	f.inTouch, f.current, f.near = true, to, r.DataCentre == f.self.DataCentre
+	f.keeper.Store(&to)
 }
 
 func (f *Follower) leave(from figseam.InstanceID, err error) {
@@ -170,6 +181,7 @@
 	}
 	if from == f.current {
 		f.current, f.inTouch = "", false
+		f.keeper.Store(nil)
 	}
 }
 
--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -56,6 +56,7 @@
 
 // Outcomes of opaque requests and of their single sendings.
 const (
+	NoRoom           figseam.Code = "no_room"
 	Answered         figseam.Code = "answered"
 	AnsweredFailure  figseam.Code = "answered_failure"
 	DeadlinePassed   figseam.Code = "deadline_passed"
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -379,4 +379,11 @@
 		Action: "Look at the engine.",
 		Since:  "0.2",
 	},
+	{
+		Code:   "no_room",
+		Title:  "No room on decode engines",
+		Text:   "The decode engines have no memory for the answer before the caller would give up, so the prompt was not read.",
+		Action: "If frequent outside bursts, add decode engines.",
+		Since:  "0.2",
+	},
 }
--- /dev/null
+++ b/queuer/queuer.go
@@ -0,0 +1,148 @@
+// Package queuer decides which of the generations that wait for memory on a
+// decode engine goes next, and which is refused because its turn would come too
+// late.
+//
+// Load pattern: bursts beyond what the decode engines hold. A prefill without a
+// place for its answer is wasted, so requests wait before their prefill. Those
+// that can still meet their target go first, the most pressing before the
+// others; one that is late already waits until none of those is left, as it has
+// lost least. A request whose turn would come after its caller gave up is
+// refused at once, with the time at which there will be room.
+package queuer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/figseam/figseam"
+)
+
+// Waiting is a request that waits for room.
+type Waiting struct {
+	// Priority is the rank of its route; 0 is the most urgent.
+	Priority int
+	// StartBy is when it must start to meet its target.
+	StartBy time.Time
+	// Arrived breaks ties.
+	Arrived time.Time
+	// Tokens is the memory that it needs.
+	Tokens int
+}
+
+// Before reports whether a goes before b at a time.
+func Before(a, b Waiting, now time.Time) bool {
+	aLate, bLate := now.After(a.StartBy), now.After(b.StartBy)
+	switch {
+	case aLate != bLate:
+		return bLate
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case !a.StartBy.Equal(b.StartBy):
+		return a.StartBy.Before(b.StartBy)
+	}
+	return a.Arrived.Before(b.Arrived)
+}
+
+// Load is what is believed of the engines of a service.
+type Load struct {
+	// MemoryTokens is the memory of all engines, UsedTokens what is taken of it,
+	// and WaitingTokens what other requests wait for, on all instances.
+	MemoryTokens  int
+	UsedTokens    int
+	WaitingTokens int
+	// StayMillis is how long a request keeps its memory.
+	StayMillis float64
+}
+
+// ExpectedWaitMillis returns when there will be room for a request: memory comes
+// free evenly, as fast as it is taken in a stay.
+func ExpectedWaitMillis(l Load, need int) float64 {
+	missing := l.WaitingTokens + need - (l.MemoryTokens - l.UsedTokens)
+	if missing <= 0 {
+		return 0
+	}
+	if l.MemoryTokens <= 0 || l.StayMillis <= 0 {
+		return 0
+	}
+	return float64(missing) * l.StayMillis / float64(l.MemoryTokens)
+}
+
+// Queue holds the requests of one instance that wait for room on the engines of
+// one service. It is safe for concurrent use.
+type Queue struct {
+	changed func() <-chan struct{}
+
+	// mu guards waiting.
+	mu      sync.Mutex
+	waiting map[*Waiting]struct{}
+}
+
+// New returns an empty queue. changed returns a channel that is closed when there
+// may be room.
+func New(changed func() <-chan struct{}) *Queue {
+	return &Queue{changed: changed, waiting: map[*Waiting]struct{}{}}
+}
+
+// Tokens returns the memory for which requests wait.
+func (q *Queue) Tokens() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	total := 0
+	for w := range q.waiting {
+		total += w.Tokens
+	}
+	return total
+}
+
+// Wait blocks until take succeeds for this request in its turn. It returns false
+// when ctx ends or the deadline passes before.
+func (q *Queue) Wait(ctx context.Context, w Waiting, until figseam.Deadline, take func() bool) bool {
+	q.mu.Lock()
+	if q.isFirst(&w, time.Now()) && take() {
+		q.mu.Unlock()
+		return true
+	}
+	q.waiting[&w] = struct{}{}
+	q.mu.Unlock()
+	defer q.leave(&w)
+	end := time.NewTimer(time.Duration(until.RemainingMillis()) * time.Millisecond)
+	defer end.Stop()
+	late := time.NewTimer(time.Until(w.StartBy))
+	defer late.Stop()
+	for {
+		changed := q.changed()
+		if q.tryTurn(&w, take) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-late.C:
+		case <-end.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (q *Queue) tryTurn(w *Waiting, take func() bool) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.isFirst(w, time.Now()) && take()
+}
+
+func (q *Queue) isFirst(w *Waiting, now time.Time) bool {
+	for o := range q.waiting {
+		if o != w && Before(*o, *w, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (q *Queue) leave(w *Waiting) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.waiting, w)
+}
--- a/relayer/answering.go
+++ b/relayer/answering.go
@@ -32,6 +32,7 @@
 		if code == explainer.NoConfig {
 			millis = unconfiguredRetryMillis
 		}
+		millis = max(millis, int(t.retryMillis))
 		h.Set("Retry-After", strconv.FormatFloat(float64(millis)/1000, 'f', 3, 64))
 	}
 	if t.request.ID != "" {
@@ -129,7 +130,7 @@
 	took := time.Since(t.began)
 	t.Meter.Relayed(semantics, code, status, took)
 	t.Log.WithLevel(level).Str("request", string(t.request.ID)).Str("route", name).Str("service", t.service).
-		Str("semantics", semantics.String()).Str("code", string(code)).Int("status", status).Int64("ms", took.Milliseconds()).
+		Str("semantics", semantics.String()).Str("code", string(code)).Int("status", status).Int64("ms", took.Milliseconds()).Int64("waited_ms", t.waited.Milliseconds()).
 		Uint64("version", t.version).Int64("list_age_ms", t.List.Age().Milliseconds()).
 		RawJSON("steps", encodeSteps(t.steps)).Msg("request ended")
 }
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -13,17 +13,14 @@
 const (
 	// prefillTokensPerMilli is what a prefill engine is expected to read.
 	prefillTokensPerMilli = 50
-	// decodeMillisPerToken is what a token is expected to take; it only ranks
-	// engines.
-	decodeMillisPerToken = 1
 	// prefillPatienceMillis and prefillPatienceFactor bound a prefill call: so many
 	// times what it is expected to take, and the fixed part.
-	prefillPatienceMillis = 150
-	prefillPatienceFactor = 2
+	prefillPatienceMillis = 600
+	prefillPatienceFactor = 3
 	// firstEventMillis is how long the first event of a stream that may be sent
 	// elsewhere may take, and gapMillis the time between two events.
-	firstEventMillis = 1000
-	gapMillis        = 1000
+	firstEventMillis = 2000
+	gapMillis        = 2000
 	// handleMarginMillis is how long before its end a prefill's result counts as
 	// gone.
 	handleMarginMillis = 100
@@ -49,21 +46,26 @@
 	code := explainer.NoEndpoint
 	prefilling := true
 	for connects := 0; connects < connectTries; {
+		var seat *seat
+		seat, code = t.takeSeat(ctx)
+		if seat == nil {
+			break
+		}
 		var source *prefilled
 		if prefilling {
-			source, code = t.prefill(ctx)
-			if code == explainer.CallerGone || code == explainer.DeadlinePassed {
-				break
-			}
-			if code == explainer.EndpointRefused && t.sends >= t.route.MaxAttempts {
+			source, code = t.prefill(ctx, seat)
+			if code == explainer.CallerGone || code == explainer.DeadlinePassed ||
+				(code == explainer.EndpointRefused && t.sends >= t.route.MaxAttempts) {
+				seat.leave()
 				break
 			}
 		}
 		if t.sends > 0 && !t.mayRepeat() {
+			seat.leave()
 			t.drop(source)
 			break
 		}
-		code = t.decode(ctx, source)
+		code = t.decode(ctx, seat, source)
 		if code == "" {
 			return
 		}
@@ -72,7 +74,7 @@
 			connects++
 			continue
 		}
-		if code == explainer.NoEndpoint || code == explainer.CallerGone || code == explainer.DeadlinePassed {
+		if code == explainer.CallerGone || code == explainer.DeadlinePassed {
 			t.drop(source)
 			break
 		}
@@ -104,9 +106,9 @@
 
 // prefill has the prompt read. Without a result the decode engine reads it: after
 // a call that broke, since only calls that were refused are known to be over.
-func (t *task) prefill(ctx context.Context) (*prefilled, figseam.Code) {
+func (t *task) prefill(ctx context.Context, seat *seat) (*prefilled, figseam.Code) {
 	for {
-		choice, ok := t.choose(figseam.StageForPrefill, t.DataCentre, 0)
+		choice, ok := t.choose(figseam.StageForPrefill, seat.choice.Candidate.Endpoint.DataCentre, 0)
 		if !ok {
 			return nil, explainer.NoEndpoint
 		}
@@ -186,25 +188,16 @@
 	return s.Engine.HandleMillis
 }
 
-// decode sends the request to a decode engine and passes the stream on. The code
-// is empty if the request has ended.
-func (t *task) decode(ctx context.Context, source *prefilled) figseam.Code {
-	home := t.DataCentre
-	if source != nil {
-		home = source.engine.DataCentre
-	}
-	choice, ok := t.choose(figseam.StageForDecode, home, t.memoryTokens())
-	if !ok {
-		return explainer.NoEndpoint
-	}
-	e := choice.Candidate.Endpoint
+// decode sends the request to the decode engine of its seat and passes the stream
+// on. The code is empty if the request has ended.
+func (t *task) decode(ctx context.Context, seat *seat, source *prefilled) figseam.Code {
+	e := seat.choice.Candidate.Endpoint
 	began := time.Now()
-	tokens := t.request.Prompt.InputTokens + t.request.Prompt.OutputTokens
-	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, decodeMillisPerToken*float64(t.request.Prompt.OutputTokens), tokens)}
+	s := &stream{task: t, endpoint: e, work: seat.work}
 	code := s.run(ctx, figseam.EndpointCall{
 		Request: t.request, Endpoint: e, Stage: figseam.StageForDecode, Source: source.source(), Deadline: t.request.Deadline,
 	})
-	t.note(e, "decode", choice, code, began)
+	t.note(e, "decode", seat.choice, code, began)
 	if code != "" {
 		t.avoid[e.ID] = true
 	}
@@ -212,6 +205,7 @@
 		t.sends++
 	}
 	if code == "" {
+		t.stays.note(time.Since(began))
 		t.logEnd(levelOf(s.status), s.code, s.status)
 	}
 	return code
@@ -262,6 +256,6 @@
 // noteLoad notes what a decode engine said of its load.
 func (s *stream) noteLoad(head figseam.AnswerHead) {
 	if head.Load != nil {
-		s.Board.Load(s.endpoint, *head.Load, decodeMillisPerToken*float64(s.request.Prompt.OutputTokens))
+		s.Board.Load(s.endpoint, *head.Load, 0)
 	}
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,6 +17,7 @@
 	"github.com/figseam/figseam/explainer"
 	"github.com/figseam/figseam/lister"
 	"github.com/figseam/figseam/matcher"
+	"github.com/figseam/figseam/queuer"
 	"github.com/figseam/figseam/selector"
 )
 
@@ -58,10 +59,14 @@
 	Settings
 	index  atomic.Pointer[matcher.Index]
 	active atomic.Int64
+	rooms  rooms
+	stays  stays
 }
 
 // New returns a relayer that refuses everything until it has a table.
-func New(settings Settings) *Relayer { return &Relayer{Settings: settings} }
+func New(settings Settings) *Relayer {
+	return &Relayer{Settings: settings, rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}}}
+}
 
 // SetTable puts a table in force if its version is higher.
 func (r *Relayer) SetTable(t *figseam.Table) {
@@ -104,6 +109,9 @@
 	avoid      map[string]bool
 	steps      []step
 	wroteHead  bool
+	// retryMillis is when a refused caller may come back; 0 for soon.
+	retryMillis float64
+	waited      time.Duration
 }
 
 // step is one sending, for the log.
@@ -205,10 +213,10 @@
 	return false
 }
 
-// choose returns the best endpoint for a stage.
-func (t *task) choose(stage figseam.EndpointStage, home figseam.DataCentre, memory int) (selector.Choice, bool) {
+// choose returns the best endpoint for a stage that has room for so many tokens.
+func (t *task) choose(stage figseam.EndpointStage, home figseam.DataCentre, need int) (selector.Choice, bool) {
 	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != stage || t.avoid[e.ID] }
-	candidates := t.Board.Candidates(t.List.Service(t.service), skip, 0, memory)
+	candidates := t.Board.Candidates(t.List.Service(t.service), skip, need, t.memoryTokens())
 	return selector.Choose(candidates, home, randomSource())
 }
 
--- /dev/null
+++ b/relayer/seating.go
@@ -0,0 +1,166 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/queuer"
+	"github.com/figseam/figseam/selector"
+)
+
+const (
+	// startMillis is what passes between the start of a prefill and the first event.
+	startMillis = 280
+	// longestWaitMillis is how long after its arrival a request may start: its
+	// caller gives up when the first event does not come.
+	longestWaitMillis = 2500
+	// stayWeight is the weight of one request in the mean stay on a decode engine,
+	// firstStayMillis the mean before the first one.
+	stayWeight      = 0.05
+	firstStayMillis = 2500
+	// returnSlackMillis is how much earlier than there is room a refused caller may
+	// come back: others give up meanwhile.
+	returnSlackMillis = 300
+	// expectedShare of the most that is generated is what is expected of it.
+	expectedShare = 0.6
+)
+
+// seat is a promised place on a decode engine.
+type seat struct {
+	choice selector.Choice
+	work   *selector.Work
+}
+
+// leave gives the seat back unused.
+func (s *seat) leave() { s.work.End(selector.Neutral) }
+
+// rooms are the queues for the decode engines of each service.
+type rooms struct {
+	changed func() <-chan struct{}
+
+	// mu guards queues.
+	mu     sync.Mutex
+	queues map[string]*queuer.Queue
+}
+
+func (r *rooms) queue(service string) *queuer.Queue {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q, ok := r.queues[service]
+	if !ok {
+		q = queuer.New(r.changed)
+		r.queues[service] = q
+	}
+	return q
+}
+
+// Waiting returns the memory for which requests wait, by service, as uses of an
+// endpoint that stands for the queue.
+func (r *Relayer) Waiting() []figseam.EndpointUse {
+	r.rooms.mu.Lock()
+	defer r.rooms.mu.Unlock()
+	var all []figseam.EndpointUse
+	for service, q := range r.rooms.queues {
+		if n := q.Tokens(); n > 0 {
+			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(queueName(service)), Tokens: n})
+		}
+	}
+	return all
+}
+
+// queueName names the endpoint that stands for a service's queue.
+func queueName(service string) string { return "queue/" + service }
+
+// stays is the mean time that requests keep their memory on a decode engine.
+type stays struct {
+	// mu guards millis.
+	mu     sync.Mutex
+	millis float64
+}
+
+func (s *stays) note(stay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.millis = s.mean() + stayWeight*(float64(stay.Milliseconds())-s.mean())
+}
+
+func (s *stays) mean() float64 {
+	if s.millis == 0 {
+		return firstStayMillis
+	}
+	return s.millis
+}
+
+func (s *stays) get() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mean()
+}
+
+// takeSeat waits for a place on a decode engine. Without one the code says why.
+func (t *task) takeSeat(ctx context.Context) (*seat, figseam.Code) {
+	need := t.expectedTokens()
+	queue := t.rooms.queue(t.service)
+	var taken *seat
+	take := func() bool {
+		choice, ok := t.choose(figseam.StageForDecode, t.DataCentre, need)
+		if !ok {
+			return false
+		}
+		taken = &seat{choice: choice, work: t.Board.Begin(choice.Candidate.Endpoint, 0, need)}
+		return true
+	}
+	load, engines := t.load(queue)
+	if engines == 0 {
+		return nil, explainer.NoEndpoint
+	}
+	wait := queuer.ExpectedWaitMillis(load, need)
+	since := float64(time.Since(t.began).Milliseconds())
+	if since+wait > longestWaitMillis {
+		t.retryMillis = max(0, wait-returnSlackMillis)
+		return nil, explainer.NoRoom
+	}
+	target := time.Duration(t.route.TargetMillis-startMillis) * time.Millisecond
+	began := time.Now()
+	waiting := queuer.Waiting{Priority: t.route.Priority, StartBy: t.began.Add(target), Arrived: t.began, Tokens: need}
+	until := figseam.DeadlineAt(t.began.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
+	ok := queue.Wait(ctx, waiting, until, take)
+	t.waited += time.Since(began)
+	switch cause := context.Cause(ctx); {
+	case ok:
+		return taken, ""
+	case errors.Is(cause, errTimeout):
+		return nil, explainer.DeadlinePassed
+	case cause != nil:
+		return nil, explainer.CallerGone
+	}
+	t.retryMillis = wait
+	return nil, explainer.NoRoom
+}
+
+// expectedTokens returns the memory that the request is expected to need.
+func (t *task) expectedTokens() int {
+	return t.request.Prompt.InputTokens + int(expectedShare*float64(t.request.Prompt.OutputTokens))
+}
+
+// load returns what is believed of the decode engines of the service that are not
+// to be avoided, and how many there are.
+func (t *task) load(queue *queuer.Queue) (queuer.Load, int) {
+	memory := t.memoryTokens()
+	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForDecode || t.avoid[e.ID] }
+	l := queuer.Load{StayMillis: t.stays.get(), WaitingTokens: queue.Tokens() + t.Board.OtherTokens(queueName(t.service))}
+	engines := 0
+	for _, c := range t.Board.Candidates(t.List.Service(t.service), skip, 0, memory) {
+		engines++
+		if selector.Rests(c) {
+			continue
+		}
+		l.MemoryTokens += memory
+		l.UsedTokens += int(c.FillShare * float64(memory))
+	}
+	return l, engines
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -14,15 +14,21 @@
 	"github.com/figseam/figseam/distributor"
 	"github.com/figseam/figseam/keeper"
 	"github.com/figseam/figseam/loader"
+	"github.com/figseam/figseam/messenger"
 	"github.com/figseam/figseam/platform"
 	"github.com/figseam/figseam/relayer"
 	"github.com/figseam/figseam/selector"
+	"github.com/figseam/figseam/sharer"
 )
 
 const (
 	// entryListPart of the time of an endpoint's drain is how old the list may be
 	// before an entry reads it itself.
 	entryListPart = 0.65
+	// shareMillis is how often what is under way is shared, shareCallMillis how long
+	// one exchange may take.
+	shareMillis     = 100
+	shareCallMillis = 400
 	// tidyMillis is how often idle connections and old records are looked at.
 	tidyMillis = 1000
 	// leaveMillis is how long a leaving entry goes on taking connections: the
@@ -118,7 +124,7 @@
 	e.servePeers(listeners)
 	e.serve(listeners[e.settings.Readiness], platform.Readiness(e.ready))
 	callers := e.serve(listeners[e.settings.Callers], e.relayer)
-	ends := []<-chan struct{}{e.list.Run(tasks), e.follower.Run(tasks), e.tidy(tasks)}
+	ends := []<-chan struct{}{e.list.Run(tasks), e.follower.Run(tasks), e.share(tasks), e.tidy(tasks)}
 	e.log.Info().Str("callers", e.settings.Callers).Msg("started")
 	<-ctx.Done()
 	e.leaving.Store(true)
@@ -169,3 +175,38 @@
 	}()
 	return ended
 }
+
+// share tells a voter what is under way here, and learns what is elsewhere.
+func (e *Entry) share(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(shareMillis * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				e.shareOnce(ctx)
+			}
+		}
+	}()
+	return ended
+}
+
+func (e *Entry) shareOnce(ctx context.Context) {
+	to := e.follower.Keeper()
+	if to == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareCallMillis*time.Millisecond)
+	defer cancel()
+	report := sharer.Report{Instance: e.settings.Self(), Uses: append(e.board.Own(), e.relayer.Waiting()...)}
+	others, err := messenger.Call[sharer.Report, []figseam.EndpointUse](ctx, e.messenger, string(to), kindShare, report)
+	if err != nil {
+		e.log.Debug().Err(err).Str("keeper", string(to)).Msg("use of endpoints not shared")
+		return
+	}
+	e.board.SetOthers(others)
+}
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -23,6 +23,8 @@
 
 const (
 	kindFollow = "document.follow"
+	kindShare  = "use.share"
+	kindSum    = "use.sum"
 	// memoryShare is the part of the process's memory at which the collector works
 	// harder, garbageTarget how much garbage there may be beside what lives.
 	memoryShare   = 0.6
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -16,6 +16,7 @@
 	"github.com/figseam/figseam/messenger"
 	"github.com/figseam/figseam/platform"
 	"github.com/figseam/figseam/replicator"
+	"github.com/figseam/figseam/sharer"
 )
 
 const (
@@ -38,6 +39,7 @@
 	hub      *distributor.Hub
 	follower *distributor.Follower
 	handler  *keeper.Keeper
+	sums     *sharer.Sums
 	seeds    atomic.Pointer[[]figseam.InstanceID]
 }
 
@@ -67,6 +69,14 @@
 	messenger.Handle(v.messenger, kindFollow, func(ctx context.Context, _ figseam.InstanceID, r distributor.Request) (distributor.Reply, error) {
 		return v.hub.Follow(ctx, r), nil
 	})
+	v.sums = sharer.New()
+	messenger.Handle(v.messenger, kindShare, func(_ context.Context, _ figseam.InstanceID, r sharer.Report) ([]figseam.EndpointUse, error) {
+		return v.sums.Exchange(r), nil
+	})
+	messenger.Handle(v.messenger, kindSum, func(_ context.Context, _ figseam.InstanceID, r sharer.Report) (nothing, error) {
+		v.sums.Merge(r)
+		return nothing{}, nil
+	})
 	v.addGauges()
 	return v, nil
 }
@@ -156,7 +166,7 @@
 	v.servePeers(listeners)
 	v.serve(listeners[v.settings.Operators], platform.Operators(v.handler, v.log))
 	logEnded := v.node.Run(tasks)
-	ends := []<-chan struct{}{v.list.Run(tasks), v.follower.Run(tasks)}
+	ends := []<-chan struct{}{v.list.Run(tasks), v.follower.Run(tasks), v.share(tasks)}
 	v.log.Info().Str("operators", v.settings.Operators).Str("replica", v.node.Self().Identity).Msg("started")
 	err = <-logEnded
 	v.log.Info().Err(err).Msg("ended")
@@ -168,6 +178,34 @@
 	return err
 }
 
+// share tells the other voters what the entries that report here have under way.
+func (v *Voter) share(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(shareMillis * time.Millisecond)
+		defer ticker.Stop()
+		for told := false; ; {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			uses := v.sums.Local()
+			if len(uses) == 0 && !told {
+				continue
+			}
+			told = len(uses) > 0
+			for _, to := range v.members() {
+				if to != v.settings.Self() {
+					messenger.Send(v.messenger, string(to), kindSum, sharer.Report{Instance: v.settings.Self(), Uses: uses})
+				}
+			}
+		}
+	}()
+	return ended
+}
+
 // RunVoter runs a voter, and another one on the same disk after the disk failed.
 func RunVoter(ctx context.Context, settings loader.RelaySettings, out io.Writer, started func(*Voter)) error {
 	for {
--- a/selector/board.go
+++ b/selector/board.go
@@ -25,15 +25,19 @@
 	patienceMillis = 150
 	// forgetMillis is when the record of an endpoint without work is dropped.
 	forgetMillis = 60_000
+	// othersMillis is how long what other instances have under way is believed.
+	othersMillis = 1500
+	// memoryFill is the part of an engine's memory that requests are placed on.
+	memoryFill = 0.96
 )
 
 // record is what one instance knows of an endpoint.
 type record struct {
 	work       float64 // expected milliseconds of own work under way
 	underWay   int
-	tokens     int // of memory that own requests need
-	others     float64
-	othersAt   time.Time
+	tokens     int     // of memory that own requests need
+	said       float64 // work of others, as the endpoint said itself
+	saidAt     time.Time
 	failure    float64
 	failureAt  time.Time
 	inRow      int
@@ -45,9 +49,12 @@
 
 // Board keeps what is believed of endpoints. It is safe for concurrent use.
 type Board struct {
-	// mu guards records.
-	mu      sync.Mutex
-	records map[key]*record
+	// mu guards everything below.
+	mu       sync.Mutex
+	records  map[key]*record
+	others   map[uint32]figseam.EndpointUse
+	othersAt time.Time
+	changed  chan struct{}
 }
 
 // key names one run of an endpoint: one that starts anew begins with a clean
@@ -58,7 +65,55 @@
 }
 
 // NewBoard returns an empty board.
-func NewBoard() *Board { return &Board{records: map[key]*record{}} }
+func NewBoard() *Board {
+	return &Board{records: map[key]*record{}, changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed when a place may have become free.
+func (b *Board) Changed() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+func (b *Board) signal() {
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// Own returns what this instance has under way.
+func (b *Board) Own() []figseam.EndpointUse {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []figseam.EndpointUse
+	for k, r := range b.records {
+		if r.underWay > 0 {
+			all = append(all, figseam.EndpointUse{
+				Endpoint: figseam.HashEndpoint(k.id), Requests: r.underWay, WorkMillis: int(r.work), Tokens: r.tokens,
+			})
+		}
+	}
+	return all
+}
+
+// SetOthers tells what all other instances together have under way.
+func (b *Board) SetOthers(all []figseam.EndpointUse) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.others, b.othersAt = make(map[uint32]figseam.EndpointUse, len(all)), time.Now()
+	for _, u := range all {
+		b.others[u.Endpoint] = u
+	}
+	b.signal()
+}
+
+// otherUse returns what other instances have under way at an endpoint.
+func (b *Board) otherUse(id string, now time.Time) (figseam.EndpointUse, bool) {
+	if now.Sub(b.othersAt) > othersMillis*time.Millisecond {
+		return figseam.EndpointUse{}, false
+	}
+	return b.others[figseam.HashEndpoint(id)], true
+}
 
 func keyOf(e figseam.ListedEndpoint) key { return key{id: e.ID, born: e.BornMillis} }
 
@@ -138,6 +193,7 @@
 	r.work = max(0, r.work-w.millis)
 	r.tokens -= w.tokens
 	r.underWay--
+	w.b.signal()
 	r.trying = false
 	now := time.Now()
 	r.usedAt = now
@@ -161,13 +217,13 @@
 	defer b.mu.Unlock()
 	r := b.record(e)
 	others := max(0, load.Running+load.Waiting-r.underWay)
-	r.others, r.othersAt = float64(others)*millis, time.Now()
+	r.said, r.saidAt = float64(others)*millis, time.Now()
 }
 
-// Candidates returns what is believed of endpoints, without those to avoid.
-// places bounds the requests under way at one endpoint, memory their tokens; 0
-// means no bound.
-func (b *Board) Candidates(endpoints []figseam.ListedEndpoint, avoid func(figseam.ListedEndpoint) bool, places, memory int) []Candidate {
+// Candidates returns what is believed of endpoints, without those to avoid. need
+// is the memory in tokens that a request wants of an engine that has memory; 0
+// for a request that needs none.
+func (b *Board) Candidates(endpoints []figseam.ListedEndpoint, avoid func(figseam.ListedEndpoint) bool, need, memory int) []Candidate {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -176,24 +232,31 @@
 		if e.Leaving || avoid(e) {
 			continue
 		}
-		all = append(all, b.candidate(e, now, places, memory))
+		all = append(all, b.candidate(e, now, need, memory))
 	}
 	return all
 }
 
-func (b *Board) candidate(e figseam.ListedEndpoint, now time.Time, places, memory int) Candidate {
+func (b *Board) candidate(e figseam.ListedEndpoint, now time.Time, need, memory int) Candidate {
+	c := Candidate{Endpoint: e, PatienceMillis: patienceMillis}
 	r, ok := b.records[keyOf(e)]
 	if !ok {
-		return Candidate{Endpoint: e, PatienceMillis: patienceMillis}
+		r = &record{}
 	}
-	c := Candidate{
-		Endpoint: e, WorkMillis: r.work + fade(r.others, now.Sub(r.othersAt), loadFadeMillis),
-		FailureShare: fade(r.failure, now.Sub(r.failureAt), failureFadeMillis), InRow: r.inRow,
-		SinceFailureMillis: float64(now.Sub(r.failureAt).Milliseconds()),
-		PatienceMillis:     max(patienceMillis, patienceFactor*r.latency),
-		Trying:             r.trying,
-		Full:               (places > 0 && r.underWay >= places) || (memory > 0 && r.tokens >= memory),
+	others, known := b.otherUse(e.ID, now)
+	c.WorkMillis = r.work + float64(others.WorkMillis)
+	if !known {
+		c.WorkMillis += fade(r.said, now.Sub(r.saidAt), loadFadeMillis)
 	}
+	if memory > 0 {
+		used := r.tokens + others.Tokens
+		c.FillShare = float64(used) / float64(memory)
+		c.Full = need > 0 && used > 0 && float64(used+need) > memoryFill*float64(memory)
+	}
+	c.FailureShare = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
+	c.InRow, c.Trying = r.inRow, r.trying
+	c.SinceFailureMillis = float64(now.Sub(r.failureAt).Milliseconds())
+	c.PatienceMillis = max(patienceMillis, patienceFactor*r.latency)
 	if r.underWay > 0 {
 		c.SilentMillis = float64(now.Sub(r.answeredAt).Milliseconds())
 	}
@@ -226,3 +289,11 @@
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
 }
+
+// OtherTokens returns the tokens that other instances report for an endpoint.
+func (b *Board) OtherTokens(id string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u, _ := b.otherUse(id, time.Now())
+	return u.Tokens
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -10,7 +10,10 @@
 const (
 	// farMillis is what an endpoint in another data centre is charged: the longer
 	// way there, and the bytes between data centres.
-	farMillis = 25
+	farMillis = 10
+	// fillMillis is charged for a full memory: the more requests an engine runs,
+	// the longer each token takes.
+	fillMillis = 300
 	// failureMillis is charged in proportion to the share of failures beyond that
 	// of the service.
 	failureMillis = 600
@@ -33,6 +36,8 @@
 	// WorkMillis is how long the work under way is expected to keep it busy: this
 	// instance's own and what the endpoint said of others'.
 	WorkMillis float64
+	// FillShare is the part of its memory that is in use or promised.
+	FillShare float64
 	// FailureShare is the share of its last answers that failed, 0 to 1.
 	FailureShare float64
 	// InRow is how many answers in a row failed; SinceFailureMillis is when the
@@ -110,7 +115,7 @@
 }
 
 func charge(c Candidate, home figseam.DataCentre, usual float64) float64 {
-	millis := c.WorkMillis
+	millis := c.WorkMillis + c.FillShare*fillMillis
 	if c.Endpoint.DataCentre != home {
 		millis += farMillis
 	}
--- a/table.go
+++ b/table.go
@@ -1,6 +1,10 @@
 package figseam
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Semantics says what may be repeated on a route of opaque requests.
 type Semantics int
@@ -136,3 +140,17 @@
 func SortEndpoints(endpoints []ListedEndpoint) {
 	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
 }
+
+// EndpointUse is what instances have under way at an endpoint.
+type EndpointUse struct {
+	// Endpoint is the hash of the endpoint's ID.
+	Endpoint uint32 `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint,omitempty"`
+	// WorkMillis is how long the work is expected to keep the endpoint busy.
+	WorkMillis int `cbor:"3,keyasint,omitempty"`
+	// Tokens is the memory that the requests need.
+	Tokens int `cbor:"4,keyasint,omitempty"`
+}
+
+// HashEndpoint returns the hash by which an endpoint is named in messages.
+func HashEndpoint(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
