relayer: memory is set aside on the decode engine before the prefill

Cause: what other instances place is known 100 to 300 ms late, so several placed on the same engine, which then refused a prompt that was read already or preempted.

--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -16,8 +16,10 @@
 const (
 	// answerBytes bounds an answer that is read whole before it is passed on.
 	answerBytes = 8 << 20
-	// sourceMillis is how long a DELETE of a prefill's result may take.
-	releaseMillis = 1000
+	// smallBytes bounds an answer that is for the system itself.
+	smallBytes = 64 << 10
+	// tellMillis is how long a call may take whose answer is not waited for.
+	tellMillis = 1000
 )
 
 // send sends the request to an endpoint and returns the head of the answer. The
@@ -43,15 +45,12 @@
 
 // codeOf says why an exchange failed.
 func codeOf(ctx context.Context, err error) figseam.Code {
-	switch cause := context.Cause(ctx); {
-	case errors.Is(err, connector.ErrNotSent) && cause == nil:
+	if code := codeOfEnd(ctx); code != "" {
+		return code
+	}
+	switch {
+	case errors.Is(err, connector.ErrNotSent):
 		return explainer.NotConnected
-	case errors.Is(cause, errTimeout):
-		return explainer.DeadlinePassed
-	case errors.Is(cause, errSilent):
-		return explainer.EndpointSilent
-	case cause != nil:
-		return explainer.CallerGone
 	case errors.Is(err, connector.ErrForeign):
 		return explainer.AnswerForeign
 	}
@@ -73,20 +72,44 @@
 	return body, ""
 }
 
-// release frees the result of a prefill that nobody will fetch.
-func (t *task) release(e figseam.ListedEndpoint, handle string) {
+// codeOfEnd says why a context ended; empty while it goes on.
+func codeOfEnd(ctx context.Context) figseam.Code {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return ""
+	case errors.Is(cause, errTimeout):
+		return explainer.DeadlinePassed
+	case errors.Is(cause, errSilent):
+		return explainer.EndpointSilent
+	}
+	return explainer.CallerGone
+}
+
+// ask exchanges a call that is no caller's request with an endpoint.
+func (t *task) ask(ctx context.Context, e figseam.ListedEndpoint, method, target string, body []byte) (int, []byte, error) {
+	header := http.Header{}
+	if len(body) > 0 {
+		header.Set("Content-Type", "application/json")
+	}
+	response, err := t.Connector.Do(ctx, connector.Request{
+		Address: e.Address, Method: method, Target: target, Host: e.Address, Header: header, Body: body,
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Close()
+	answer, err := io.ReadAll(io.LimitReader(response, smallBytes))
+	return response.Status, answer, err
+}
+
+// tell sends a DELETE to an endpoint beside the request, which may have ended.
+func (t *task) tell(e figseam.ListedEndpoint, target string) {
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseMillis*time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), tellMillis*time.Millisecond)
 		defer cancel()
-		response, err := t.Connector.Do(ctx, connector.Request{
-			Address: e.Address, Method: http.MethodDelete, Target: t.Wire.ReleasePath(handle), Host: e.Address, Header: http.Header{},
-		})
-		if err != nil {
-			t.Log.Debug().Err(err).Str("endpoint", e.ID).Msg("prefill result not freed")
-			return
+		if _, _, err := t.ask(ctx, e, http.MethodDelete, target, nil); err != nil {
+			t.Log.Debug().Err(err).Str("endpoint", e.ID).Str("target", target).Msg("endpoint not told")
 		}
-		_, _ = io.Copy(io.Discard, io.LimitReader(response, answerBytes))
-		response.Close()
 	}()
 }
 
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -56,12 +56,12 @@
 			source, code = t.prefill(ctx, seat)
 			if code == explainer.CallerGone || code == explainer.DeadlinePassed ||
 				(code == explainer.EndpointRefused && t.sends >= t.route.MaxAttempts) {
-				seat.leave()
+				t.leave(seat)
 				break
 			}
 		}
 		if t.sends > 0 && !t.mayRepeat() {
-			seat.leave()
+			t.leave(seat)
 			t.drop(source)
 			break
 		}
@@ -100,7 +100,7 @@
 
 func (t *task) drop(p *prefilled) {
 	if p != nil && !p.until.Passed() {
-		t.release(p.engine, p.handle)
+		t.tell(p.engine, t.Wire.ReleasePath(p.handle))
 	}
 }
 
@@ -195,7 +195,7 @@
 	began := time.Now()
 	s := &stream{task: t, endpoint: e, work: seat.work}
 	code := s.run(ctx, figseam.EndpointCall{
-		Request: t.request, Endpoint: e, Stage: figseam.StageForDecode, Source: source.source(), Deadline: t.request.Deadline,
+		Request: t.request, Endpoint: e, Stage: figseam.StageForDecode, Source: source.source(), Hold: seat.hold, Deadline: t.request.Deadline,
 	})
 	t.note(e, "decode", seat.choice, code, began)
 	if code != "" {
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"net/http"
 	"sync"
 	"time"
 
@@ -25,6 +25,11 @@
 	// returnSlackMillis is how much earlier than there is room a refused caller may
 	// come back: others give up meanwhile.
 	returnSlackMillis = 300
+	// hintFactor times the caller's hint is what is expected to be generated: the
+	// hint is right at the median only.
+	hintFactor = 1.3
+	// holdCallMillis bounds the call that sets memory aside.
+	holdCallMillis = 150
 	// expectedShare of the most that is generated is what is expected of it.
 	expectedShare = 0.6
 )
@@ -33,10 +38,17 @@
 type seat struct {
 	choice selector.Choice
 	work   *selector.Work
+	// hold names the memory that the engine set aside; empty for none.
+	hold string
 }
 
 // leave gives the seat back unused.
-func (s *seat) leave() { s.work.End(selector.Neutral) }
+func (t *task) leave(s *seat) {
+	s.work.End(selector.Neutral)
+	if s.hold != "" {
+		t.tell(s.choice.Candidate.Endpoint, t.Wire.DropHoldPath(s.hold))
+	}
+}
 
 // rooms are the queues for the decode engines of each service.
 type rooms struct {
@@ -101,8 +113,38 @@
 	return s.mean()
 }
 
-// takeSeat waits for a place on a decode engine. Without one the code says why.
+// takeSeat waits for a place on a decode engine and has the engine set the memory
+// aside, since what other instances placed there may not be known yet. Without a
+// place the code says why.
 func (t *task) takeSeat(ctx context.Context) (*seat, figseam.Code) {
+	for {
+		s, code := t.waitForSeat(ctx)
+		if s == nil {
+			return nil, code
+		}
+		e := s.choice.Candidate.Endpoint
+		began := time.Now()
+		code = t.hold(ctx, s)
+		if code == "" {
+			return s, ""
+		}
+		t.note(e, "hold", s.choice, code, began)
+		switch code {
+		case explainer.EndpointRefused:
+			s.work.End(selector.Neutral)
+			t.Board.Full(e)
+		case explainer.CallerGone, explainer.DeadlinePassed:
+			s.work.End(selector.Neutral)
+			return nil, code
+		default:
+			s.work.End(selector.Bad)
+			t.avoid[e.ID] = true
+		}
+	}
+}
+
+// waitForSeat waits until an engine seems to have room.
+func (t *task) waitForSeat(ctx context.Context) (*seat, figseam.Code) {
 	need := t.expectedTokens()
 	queue := t.rooms.queue(t.service)
 	var taken *seat
@@ -130,21 +172,50 @@
 	until := figseam.DeadlineAt(t.began.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
 	ok := queue.Wait(ctx, waiting, until, take)
 	t.waited += time.Since(began)
-	switch cause := context.Cause(ctx); {
-	case ok:
+	if ok {
 		return taken, ""
-	case errors.Is(cause, errTimeout):
-		return nil, explainer.DeadlinePassed
-	case cause != nil:
-		return nil, explainer.CallerGone
+	}
+	if code := codeOfEnd(ctx); code != "" {
+		return nil, code
 	}
 	t.retryMillis = wait
 	return nil, explainer.NoRoom
 }
 
+// hold has the engine of a seat set the memory aside.
+func (t *task) hold(ctx context.Context, s *seat) figseam.Code {
+	traits := t.index.Load().Table().Services[t.service].Engine
+	if traits == nil || traits.HoldMillis <= 0 {
+		return ""
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, holdCallMillis*time.Millisecond, errSilent)
+	defer cancel()
+	target, body := t.Wire.EncodeHold(t.expectedTokens(), traits.HoldMillis)
+	status, answer, err := t.ask(ctx, s.choice.Candidate.Endpoint, http.MethodPost, target, body)
+	switch {
+	case err != nil:
+		return codeOf(ctx, err)
+	case status == http.StatusServiceUnavailable:
+		return explainer.EndpointRefused
+	case status != http.StatusOK:
+		// An engine that sets nothing aside still takes the request.
+		return ""
+	}
+	s.hold, err = t.Wire.DecodeHold(answer)
+	if err != nil {
+		return explainer.AnswerSpoiled
+	}
+	return ""
+}
+
 // expectedTokens returns the memory that the request is expected to need.
 func (t *task) expectedTokens() int {
-	return t.request.Prompt.InputTokens + int(expectedShare*float64(t.request.Prompt.OutputTokens))
+	p := t.request.Prompt
+	output := int(expectedShare * float64(p.OutputTokens))
+	if p.HintTokens > 0 {
+		output = min(p.OutputTokens, int(hintFactor*float64(p.HintTokens)))
+	}
+	return p.InputTokens + output
 }
 
 // load returns what is believed of the decode engines of the service that are not
--- a/selector/board.go
+++ b/selector/board.go
@@ -27,6 +27,8 @@
 	forgetMillis = 60_000
 	// othersMillis is how long what other instances have under way is believed.
 	othersMillis = 1500
+	// fullMillis is how long an endpoint that said that it is full is left alone.
+	fullMillis = 60
 	// memoryFill is the part of an engine's memory that requests are placed on.
 	memoryFill = 0.96
 )
@@ -45,6 +47,7 @@
 	usedAt     time.Time
 	latency    float64
 	trying     bool
+	fullUntil  time.Time
 }
 
 // Board keeps what is believed of endpoints. It is safe for concurrent use.
@@ -210,6 +213,18 @@
 	}
 }
 
+// Full notes that an endpoint said that it has no room.
+func (b *Board) Full(e figseam.ListedEndpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record(e).fullUntil = time.Now().Add(fullMillis * time.Millisecond)
+	time.AfterFunc(fullMillis*time.Millisecond, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.signal()
+	})
+}
+
 // Load notes what an endpoint said of its load: others are the requests beside
 // this instance's own, each of which is expected to take millis.
 func (b *Board) Load(e figseam.ListedEndpoint, load figseam.EndpointLoad, millis float64) {
@@ -251,7 +266,8 @@
 	if memory > 0 {
 		used := r.tokens + others.Tokens
 		c.FillShare = float64(used) / float64(memory)
-		c.Full = need > 0 && used > 0 && float64(used+need) > memoryFill*float64(memory)
+		full := used > 0 && float64(used+need) > memoryFill*float64(memory)
+		c.Full = need > 0 && (full || now.Before(r.fullUntil))
 	}
 	c.FailureShare = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
 	c.InRow, c.Trying = r.inRow, r.trying
--- a/table.go
+++ b/table.go
@@ -96,6 +96,9 @@
 	MemoryTokens int
 	// HandleMillis is how long an engine keeps the result of a prefill.
 	HandleMillis int64
+	// HoldMillis is the longest time for which memory can be set aside; 0 if it
+	// cannot.
+	HoldMillis int64
 }
 
 // RequestLimits bound what a caller may send and how long it may take.
--- a/wire.go
+++ b/wire.go
@@ -49,7 +49,9 @@
 	// InputTokens is the prompt's length, OutputTokens the most that is generated.
 	InputTokens  int
 	OutputTokens int
-	Parts        []PromptPart
+	// HintTokens is what the caller expects to be generated; 0 when it does not say.
+	HintTokens int
+	Parts      []PromptPart
 }
 
 // PromptPart is a part that prompts may share.
@@ -66,6 +68,8 @@
 	// Source is the address and handle of a prefill's result to go on from; empty
 	// for none.
 	Source string
+	// Hold names the memory that is set aside for the request; empty for none.
+	Hold string
 	// Deadline is when the endpoint is to stop.
 	Deadline Deadline
 }
@@ -108,6 +112,12 @@
 	DecodeHandle(body []byte) (PrefillHandle, error)
 	// ReleasePath returns the target of the DELETE that frees a handle.
 	ReleasePath(handle string) string
+	// EncodeHold returns target and body of the POST that sets memory aside.
+	EncodeHold(tokens int, millis int64) (target string, body []byte)
+	// DecodeHold reads the name of the memory that was set aside.
+	DecodeHold(body []byte) (string, error)
+	// DropHoldPath returns the target of the DELETE that gives it back.
+	DropHoldPath(hold string) string
 	// RequestIDHeader is the name of the header with the request's ID.
 	RequestIDHeader() string
 }
