--- a/runner/entry.go
+++ b/runner/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -130,7 +131,7 @@
 	e.leaving.Store(true)
 	e.log.Info().Int64("active", e.relayer.Active()).Msg("leaving")
 	callers.SetKeepAlivesEnabled(false)
-	e.finish()
+	e.finish(listeners[e.settings.Callers])
 	e.log.Info().Int64("active", e.relayer.Active()).Msg("ended")
 	_ = callers.Close()
 	stop()
@@ -141,11 +142,15 @@
 	return nil
 }
 
-// finish waits until the platform sends no more connections and no request is
-// under way, or until the grace period is nearly over.
-func (e *Entry) finish() {
+// finish goes on taking connections until the platform must have noticed, then
+// closes the door: where few instances are left the platform would send more, and
+// there may not be time to finish what they ask for. It returns when no request is
+// under way any more, or when the grace period is nearly over.
+func (e *Entry) finish(callers net.Listener) {
 	began := time.Now()
 	end := began.Add(time.Duration(leaveShare * e.settings.GraceSeconds * float64(time.Second)))
+	door := time.AfterFunc(leaveMillis*time.Millisecond, func() { _ = callers.Close() })
+	defer door.Stop()
 	ticker := time.NewTicker(drainTickMillis * time.Millisecond)
 	defer ticker.Stop()
 	for now := range ticker.C {
