--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -63,6 +63,7 @@
 		if t.sends > 0 && !t.mayRepeat() {
 			t.leave(seat)
 			t.drop(source)
+			code = explainer.RetriesSpent
 			break
 		}
 		code = t.decode(ctx, seat, source)
@@ -83,6 +84,7 @@
 		prefilling = false
 		if code == explainer.EndpointRefused {
 			t.drop(source)
+			t.blame(seat, source)
 		}
 		if t.mayHaveRun && !t.route.Semantics.Repeatable() {
 			break
@@ -98,6 +100,17 @@
 	}
 }
 
+// blame finds who caused the refusal of a decode engine: if it had set memory
+// aside, then the result of the prefill was gone.
+func (t *task) blame(s *seat, source *prefilled) {
+	if s.hold == "" || source == nil {
+		return
+	}
+	t.Board.Blame(source.engine)
+	delete(t.avoid, s.choice.Candidate.Endpoint.ID)
+}
+
+// drop frees the result of a prefill that is not fetched.
 func (t *task) drop(p *prefilled) {
 	if p != nil && !p.until.Passed() {
 		t.tell(p.engine, t.Wire.ReleasePath(p.handle))
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// startMillis is what passes between the start of a prefill and the first event.
-	startMillis = 280
+	// startMillis is what passes between the start of a prefill and the first event,
+	// beside the reading of the prompt.
+	startMillis = 190
 	// longestWaitMillis is how long after its arrival a request may start: its
 	// caller gives up when the first event does not come.
 	longestWaitMillis = 2500
@@ -138,7 +139,6 @@
 			return nil, code
 		default:
 			s.work.End(selector.Bad)
-			t.avoid[e.ID] = true
 		}
 	}
 }
@@ -161,15 +161,20 @@
 		return nil, explainer.NoEndpoint
 	}
 	wait := queuer.ExpectedWaitMillis(load, need)
-	since := float64(time.Since(t.began).Milliseconds())
+	began := time.Now()
+	// A caller that has a part of its stream counts the gap, not the whole.
+	from := t.began
+	if t.wroteHead {
+		from = began
+	}
+	since := float64(began.Sub(from).Milliseconds())
 	if since+wait > longestWaitMillis {
 		t.retryMillis = max(0, wait-returnSlackMillis)
 		return nil, explainer.NoRoom
 	}
-	target := time.Duration(t.route.TargetMillis-startMillis) * time.Millisecond
-	began := time.Now()
-	waiting := queuer.Waiting{Priority: t.route.Priority, StartBy: t.began.Add(target), Arrived: t.began, Tokens: need}
-	until := figseam.DeadlineAt(t.began.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
+	startBy := from.Add(time.Duration(float64(t.route.TargetMillis)-t.startMillis()) * time.Millisecond)
+	waiting := queuer.Waiting{Priority: t.route.Priority, StartBy: startBy, Arrived: t.began, Tokens: need}
+	until := figseam.DeadlineAt(from.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
 	ok := queue.Wait(ctx, waiting, until, take)
 	t.waited += time.Since(began)
 	if ok {
@@ -182,6 +187,12 @@
 	return nil, explainer.NoRoom
 }
 
+// startMillis returns what is expected to pass until the first event once there is
+// room.
+func (t *task) startMillis() float64 {
+	return startMillis + float64(t.request.Prompt.InputTokens)/prefillTokensPerMilli
+}
+
 // hold has the engine of a seat set the memory aside.
 func (t *task) hold(ctx context.Context, s *seat) figseam.Code {
 	traits := t.index.Load().Table().Services[t.service].Engine
--- a/selector/board.go
+++ b/selector/board.go
@@ -205,14 +205,29 @@
 		r.failure = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis) * (1 - failureWeight)
 		r.failureAt, r.inRow = now, 0
 	case Bad:
-		r.failure = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
-		r.failure += failureWeight * (1 - r.failure)
-		r.failureAt = now
-		r.inRow++
+		r.fail(now)
 	case Neutral:
 	}
 }
 
+// Blame notes a failure of an endpoint that showed elsewhere: the result of its
+// prefill was gone when another engine asked for it.
+func (b *Board) Blame(e figseam.ListedEndpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(e)
+	r.fail(time.Now())
+	r.usedAt = time.Now()
+}
+
+// fail notes a failure.
+func (r *record) fail(now time.Time) {
+	r.failure = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
+	r.failure += failureWeight * (1 - r.failure)
+	r.failureAt = now
+	r.inRow++
+}
+
 // Full notes that an endpoint said that it has no room.
 func (b *Board) Full(e figseam.ListedEndpoint) {
 	b.mu.Lock()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -71,30 +71,30 @@
 )
 
 // Choose returns the best of the candidates for an instance in a data centre.
-// Endpoints that rest are used only if there is no other. It reports false when
-// there is none with a free place.
+// Endpoints that rest are used only if all do: a full one that is well has room
+// again sooner. It reports false when there is none with a free place.
 func Choose(candidates []Candidate, home figseam.DataCentre, random *rand.Rand) (Choice, bool) {
 	usual := usualFailures(candidates)
 	best, fallback := Choice{Millis: math.Inf(1)}, Choice{Millis: math.Inf(1)}
+	well := false
 	for _, c := range candidates {
+		rests := Rests(c)
+		well = well || !rests
 		if c.Full {
 			continue
 		}
 		millis := charge(c, home, usual) + random.Float64()*spreadMillis
-		if Rests(c) {
-			if millis < fallback.Millis {
-				fallback = Choice{Candidate: c, Millis: millis, Reason: ReasonLastHope}
-			}
-			continue
+		if rests && millis < fallback.Millis {
+			fallback = Choice{Candidate: c, Millis: millis, Reason: ReasonLastHope}
 		}
-		if millis < best.Millis {
+		if !rests && millis < best.Millis {
 			best = Choice{Candidate: c, Millis: millis, Reason: reasonOf(c)}
 		}
 	}
-	if math.IsInf(best.Millis, 1) {
-		return fallback, !math.IsInf(fallback.Millis, 1)
+	if well {
+		return best, !math.IsInf(best.Millis, 1)
 	}
-	return best, true
+	return fallback, !math.IsInf(fallback.Millis, 1)
 }
 
 func reasonOf(c Candidate) figseam.Code {
