--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -73,9 +73,10 @@
 type Queue struct {
 	changed func() <-chan struct{}
 
-	// mu guards waiting.
+	// mu guards everything below.
 	mu      sync.Mutex
 	waiting map[*Waiting]struct{}
+	claimed bool
 }
 
 // New returns an empty queue. changed returns a channel that is closed when there
@@ -126,6 +127,23 @@
 	}
 }
 
+// Claim takes the right to claim an engine that has no room yet; one request of
+// the queue has it at a time. It is to be called from within Wait's take.
+func (q *Queue) Claim() bool {
+	if q.claimed {
+		return false
+	}
+	q.claimed = true
+	return true
+}
+
+// Unclaim gives the right back.
+func (q *Queue) Unclaim() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.claimed = false
+}
+
 func (q *Queue) tryTurn(w *Waiting, take func() bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -111,7 +111,12 @@
 	wroteHead  bool
 	// retryMillis is when a refused caller may come back; 0 for soon.
 	retryMillis float64
-	waited      time.Duration
+	// waited is how long the request waited for room, firstEvent when its first
+	// event came.
+	waited     time.Duration
+	firstEvent time.Duration
+	// refusals is how often engines had no memory to set aside.
+	refusals int
 }
 
 // step is one sending, for the log.
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -29,6 +29,8 @@
 	// hintFactor times the caller's hint is what is expected to be generated: the
 	// hint is right at the median only.
 	hintFactor = 1.3
+	// claimMillis is how often a claimed engine is asked for room.
+	claimMillis = 25
 	// holdCallMillis bounds the call that sets memory aside.
 	holdCallMillis = 150
 	// expectedShare of the most that is generated is what is expected of it.
@@ -117,80 +119,150 @@
 // takeSeat waits for a place on a decode engine and has the engine set the memory
 // aside, since what other instances placed there may not be known yet. Without a
 // place the code says why.
+//
+// The request that is first in the queue claims the emptiest engine while none has
+// room for it. The claim counts as use of the engine, also for other instances, so
+// that smaller requests do not take what comes free there piece by piece.
 func (t *task) takeSeat(ctx context.Context) (*seat, figseam.Code) {
+	began := time.Now()
+	defer func() { t.waited += time.Since(began) }()
+	turn, code := t.newTurn(began)
+	if code != "" {
+		return nil, code
+	}
 	for {
-		s, code := t.waitForSeat(ctx)
+		s, code := turn.wait(ctx)
 		if s == nil {
 			return nil, code
 		}
-		e := s.choice.Candidate.Endpoint
-		began := time.Now()
+		held := time.Now()
 		code = t.hold(ctx, s)
 		if code == "" {
+			turn.unclaim()
 			return s, ""
 		}
-		t.note(e, "hold", s.choice, code, began)
-		switch code {
-		case explainer.EndpointRefused:
-			s.work.End(selector.Neutral)
+		e := s.choice.Candidate.Endpoint
+		if code != explainer.EndpointRefused {
+			t.note(e, "hold", s.choice, code, held)
+		}
+		s.work.End(verdictOfHold(code))
+		if code == explainer.CallerGone || code == explainer.DeadlinePassed {
+			turn.unclaim()
+			return nil, code
+		}
+		t.refusals++
+		if !turn.claims {
 			t.Board.Full(e)
-		case explainer.CallerGone, explainer.DeadlinePassed:
-			s.work.End(selector.Neutral)
+			continue
+		}
+		if code := turn.pause(ctx); code != "" {
+			turn.unclaim()
 			return nil, code
-		default:
-			s.work.End(selector.Bad)
 		}
 	}
 }
 
-// waitForSeat waits until an engine seems to have room.
-func (t *task) waitForSeat(ctx context.Context) (*seat, figseam.Code) {
-	need := t.expectedTokens()
-	queue := t.rooms.queue(t.service)
-	var taken *seat
-	take := func() bool {
-		choice, ok := t.choose(figseam.StageForDecode, t.DataCentre, need)
-		if !ok {
-			return false
-		}
-		taken = &seat{choice: choice, work: t.Board.Begin(choice.Candidate.Endpoint, 0, need)}
-		return true
+// verdictOfHold says what a call to set memory aside tells of the engine: one that
+// has no room is well.
+func verdictOfHold(code figseam.Code) selector.Verdict {
+	if code == explainer.EndpointRefused {
+		return selector.Neutral
 	}
-	load, engines := t.load(queue)
+	return verdictOf(code)
+}
+
+// turn is a request's wait for a place.
+type turn struct {
+	*task
+	queue   *queuer.Queue
+	waiting queuer.Waiting
+	need    int
+	until   figseam.Deadline
+	// claims tells that the request holds its queue's claim.
+	claims bool
+}
+
+// newTurn refuses at once what would get room too late for its caller.
+func (t *task) newTurn(now time.Time) (*turn, figseam.Code) {
+	u := &turn{task: t, queue: t.rooms.queue(t.service), need: t.expectedTokens()}
+	load, engines := t.load(u.queue)
 	if engines == 0 {
 		return nil, explainer.NoEndpoint
 	}
-	wait := queuer.ExpectedWaitMillis(load, need)
-	began := time.Now()
 	// A caller that has a part of its stream counts the gap, not the whole.
 	from := t.began
 	if t.wroteHead {
-		from = began
+		from = now
 	}
-	since := float64(began.Sub(from).Milliseconds())
-	if since+wait > longestWaitMillis {
+	wait := queuer.ExpectedWaitMillis(load, u.need)
+	if float64(now.Sub(from).Milliseconds())+wait > longestWaitMillis {
 		t.retryMillis = max(0, wait-returnSlackMillis)
 		return nil, explainer.NoRoom
 	}
 	startBy := from.Add(time.Duration(float64(t.route.TargetMillis)-t.startMillis()) * time.Millisecond)
-	waiting := queuer.Waiting{Priority: t.route.Priority, StartBy: startBy, Arrived: t.began, Tokens: need}
-	until := figseam.DeadlineAt(from.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
-	ok := queue.Wait(ctx, waiting, until, take)
-	t.waited += time.Since(began)
-	if ok {
+	u.waiting = queuer.Waiting{Priority: t.route.Priority, StartBy: startBy, Arrived: t.began, Tokens: u.need}
+	u.until = figseam.DeadlineAt(from.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
+	return u, ""
+}
+
+// wait blocks until an engine seems to have room, or is claimed.
+func (u *turn) wait(ctx context.Context) (*seat, figseam.Code) {
+	var taken *seat
+	take := func() bool {
+		taken = u.take()
+		return taken != nil
+	}
+	if u.claims {
+		if take() {
+			return taken, ""
+		}
+		return nil, explainer.NoEndpoint
+	}
+	if u.queue.Wait(ctx, u.waiting, u.until, take) {
 		return taken, ""
 	}
 	if code := codeOfEnd(ctx); code != "" {
 		return nil, code
 	}
-	t.retryMillis = wait
 	return nil, explainer.NoRoom
 }
 
-// startMillis returns what is expected to pass until the first event once there is
-// room.
-func (t *task) startMillis() float64 {
-	return startMillis + float64(t.request.Prompt.InputTokens)/prefillTokensPerMilli
+// take places the request where there is room, or claims a place.
+func (u *turn) take() *seat {
+	choice, ok := u.choose(figseam.StageForDecode, u.DataCentre, u.need)
+	if !ok {
+		if !u.claims && !u.queue.Claim() {
+			return nil
+		}
+		u.claims = true
+		choice, ok = u.choose(figseam.StageForDecode, u.DataCentre, 0)
+		if !ok {
+			return nil
+		}
+	}
+	return &seat{choice: choice, work: u.Board.Begin(choice.Candidate.Endpoint, 0, u.need)}
+}
+
+func (u *turn) unclaim() {
+	if u.claims {
+		u.claims = false
+		u.queue.Unclaim()
+	}
+}
+
+// pause waits until a claimed engine may have room.
+func (u *turn) pause(ctx context.Context) figseam.Code {
+	if u.until.Passed() {
+		return explainer.NoRoom
+	}
+	timer := time.NewTimer(claimMillis * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return codeOfEnd(ctx)
+	case <-timer.C:
+		return ""
+	}
 }
 
 // hold has the engine of a seat set the memory aside.
@@ -219,6 +291,12 @@
 	return ""
 }
 
+// startMillis returns what is expected to pass until the first event once there is
+// room.
+func (t *task) startMillis() float64 {
+	return startMillis + float64(t.request.Prompt.InputTokens)/prefillTokensPerMilli
+}
+
 // expectedTokens returns the memory that the request is expected to need.
 func (t *task) expectedTokens() int {
 	p := t.request.Prompt
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -130,7 +130,8 @@
 	s.wroteHead = true
 	copyHeader(s.writer.Header(), r.Header)
 	s.writer.WriteHeader(r.Status)
-	s.Meter.FirstEvent(time.Since(s.began))
+	s.firstEvent = time.Since(s.began)
+	s.Meter.FirstEvent(s.firstEvent)
 }
 
 // finish ends the answer. Bytes behind the last whole event are a stream that
