--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -18,6 +18,9 @@
 	"github.com/figseam/figseam"
 )
 
+// claimsMost bounds the requests of one queue that claim an engine.
+const claimsMost = 3
+
 // Waiting is a request that waits for room.
 type Waiting struct {
 	// Priority is the rank of its route; 0 is the most urgent.
@@ -76,7 +79,7 @@
 	// mu guards everything below.
 	mu      sync.Mutex
 	waiting map[*Waiting]struct{}
-	claimed bool
+	claims  int
 }
 
 // New returns an empty queue. changed returns a channel that is closed when there
@@ -130,10 +133,10 @@
 // Claim takes the right to claim an engine that has no room yet; one request of
 // the queue has it at a time. It is to be called from within Wait's take.
 func (q *Queue) Claim() bool {
-	if q.claimed {
+	if q.claims >= claimsMost {
 		return false
 	}
-	q.claimed = true
+	q.claims++
 	return true
 }
 
@@ -141,7 +144,7 @@
 func (q *Queue) Unclaim() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.claimed = false
+	q.claims--
 }
 
 func (q *Queue) tryTurn(w *Waiting, take func() bool) bool {
