selector: doubt about a data centre whose endpoints rest

Idempotent calls go to an endpoint that was tried rather than to one that rests; connections are dialled for 250 ms, calls to set memory aside take 100 ms.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -17,7 +17,7 @@
 
 const (
 	// dialMillis bounds the opening of a connection.
-	dialMillis = 500
+	dialMillis = 250
 	// silenceMillis is how long sent bytes may stay unconfirmed before the
 	// connection counts as broken.
 	silenceMillis = 1500
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -25,7 +25,7 @@
 	var failed *answer
 	code := explainer.NoEndpoint
 	for connects := 0; ; {
-		choice, ok := t.choose(figseam.StageNone, t.DataCentre, 0)
+		choice, ok := t.chooseAgain()
 		if !ok || (t.sends > 0 && !t.mayRepeat()) {
 			break
 		}
@@ -68,6 +68,17 @@
 	}
 }
 
+// chooseAgain returns the best endpoint, which is one that was tried before if all
+// others rest.
+func (t *task) chooseAgain() (selector.Choice, bool) {
+	choice, ok := t.choose(figseam.StageNone, t.DataCentre, 0)
+	if t.sends == 0 || (ok && choice.Reason != selector.ReasonLastHope) {
+		return choice, ok
+	}
+	t.avoid = map[string]bool{}
+	return t.choose(figseam.StageNone, t.DataCentre, 0)
+}
+
 // callOnce sends the request to one endpoint and reads the whole answer.
 func (t *task) callOnce(ctx context.Context, e figseam.ListedEndpoint) (a answer, code figseam.Code) {
 	work := t.Board.Begin(e, callWorkMillis, 0)
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -32,7 +32,7 @@
 	// claimMillis is how often a claimed engine is asked for room.
 	claimMillis = 25
 	// holdCallMillis bounds the call that sets memory aside.
-	holdCallMillis = 150
+	holdCallMillis = 100
 	// expectedShare of the most that is generated is what is expected of it.
 	expectedShare = 0.6
 )
