--- a/lister/lister.go
+++ b/lister/lister.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,12 +59,14 @@
 	readAt    time.Time
 	changed   chan struct{}
 	failing   bool
+	// suspended endpoints are listed as leaving until the deadline.
+	suspended map[string]figseam.Deadline
 }
 
 // New returns an empty list. wanted returns the age of the reading at which the
 // instance reads it itself.
 func New(source Source, wanted func() time.Duration, log zerolog.Logger) *List {
-	return &List{source: source, wanted: wanted, log: log, changed: make(chan struct{})}
+	return &List{source: source, wanted: wanted, log: log, changed: make(chan struct{}), suspended: map[string]figseam.Deadline{}}
 }
 
 // Run reads the list whenever the reading is older than wanted. It returns a
@@ -114,10 +117,36 @@
 	if was {
 		l.log.Info().Msg("platform list regained")
 	}
-	l.take(endpoints, began)
+	l.take(l.withSuspended(endpoints), began)
 	return true
 }
 
+// Suspend lists an endpoint as leaving until a deadline, here and at all that are
+// told of this reading.
+func (l *List) Suspend(id string, until figseam.Deadline) {
+	l.mu.Lock()
+	l.suspended[id] = until
+	endpoints, readAt := slices.Clone(l.endpoints), l.readAt.Add(1)
+	l.mu.Unlock()
+	l.take(l.withSuspended(endpoints), readAt)
+}
+
+func (l *List) withSuspended(endpoints []figseam.ListedEndpoint) []figseam.ListedEndpoint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, until := range l.suspended {
+		if until.Passed() {
+			delete(l.suspended, id)
+		}
+	}
+	for i, e := range endpoints {
+		if _, ok := l.suspended[e.ID]; ok {
+			endpoints[i].Leaving = true
+		}
+	}
+	return endpoints
+}
+
 // take puts a reading in place if it is newer than the one held.
 func (l *List) take(endpoints []figseam.ListedEndpoint, readAt time.Time) {
 	figseam.SortEndpoints(endpoints)
@@ -179,6 +208,18 @@
 	return l.byService[name]
 }
 
+// Services returns the names of the services that have endpoints.
+func (l *List) Services() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := make([]string, 0, len(l.byService))
+	for name := range l.byService {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Listed reports whether an endpoint has this address.
 func (l *List) Listed(address string) bool {
 	l.mu.Lock()
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -40,6 +40,9 @@
 	// long after it is listed as leaving an endpoint may still get work.
 	GraceSeconds        float64 `json:"grace_s"`
 	EndpointDrainMillis float64 `json:"endpoint_drain_ms"`
+	// OrderLeaseMillis is the time in which no two instances may both give orders to
+	// an engine.
+	OrderLeaseMillis float64 `json:"order_lease_ms,omitempty"`
 	// RetryShare, RetryAllowance and RetryWindowSeconds bound the repeats of all
 	// instances together: a share of the requests and a fixed number in a window.
 	RetryShare         float64 `json:"retry_share"`
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// prefillTokensPerMilli is what a prefill engine is expected to read.
-	prefillTokensPerMilli = 50
+	// idleMillis is the charge below which an engine counts as idle.
+	idleMillis = 15
 	// prefillPatienceMillis and prefillPatienceFactor bound a prefill call: so many
 	// times what it is expected to take, and the fixed part.
-	prefillPatienceMillis = 600
-	prefillPatienceFactor = 3
+	prefillPatienceMillis = 500
+	prefillPatienceFactor = 2
 	// firstEventMillis is how long the first event of a stream that may be sent
 	// elsewhere may take, and gapMillis the time between two events.
 	firstEventMillis = 2000
@@ -44,6 +44,8 @@
 // that streams the answer, again behind the last event if the route allows it.
 func (t *task) generate(ctx context.Context) {
 	code := explainer.NoEndpoint
+	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
+	t.rooms.count(t.service, reading)
 	prefilling := true
 	for connects := 0; connects < connectTries; {
 		var seat *seat
@@ -151,11 +153,12 @@
 
 func (t *task) prefillOnce(ctx context.Context, choice selector.Choice) (p *prefilled, code figseam.Code) {
 	e := choice.Candidate.Endpoint
-	expected := float64(t.request.Prompt.InputTokens) / prefillTokensPerMilli
-	work := t.Board.Begin(e, expected, 0)
+	fixed, reading := t.pace.Millis(t.request.Prompt.InputTokens)
+	began := time.Now()
+	work := t.Board.Begin(e, reading, 0)
 	verdict := selector.Bad
 	defer func() { work.End(verdict) }()
-	patience := prefillPatienceMillis + prefillPatienceFactor*(expected+choice.Candidate.WorkMillis)
+	patience := prefillPatienceMillis + prefillPatienceFactor*(fixed+reading+choice.Candidate.WorkMillis)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(time.Duration(patience*float64(time.Millisecond)), func() { cancel(errSilent) })
@@ -164,7 +167,7 @@
 		Request: t.request, Endpoint: e, Stage: figseam.StageForPrefill, Deadline: t.request.Deadline,
 	})
 	if head.Load != nil {
-		t.Board.Load(e, *head.Load, expected)
+		t.Board.Load(e, *head.Load, reading)
 	}
 	if response != nil {
 		defer response.Close()
@@ -188,6 +191,9 @@
 		verdict = selector.Bad
 		return nil, explainer.AnswerSpoiled
 	}
+	if choice.Millis < idleMillis {
+		t.pace.Learn(t.request.Prompt.InputTokens, float64(time.Since(began).Milliseconds()))
+	}
 	until := figseam.DeadlineAfterMillis(max(0, t.handleMillis()-handleMarginMillis))
 	return &prefilled{engine: e, handle: handle.ID, until: until}, ""
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -61,11 +61,12 @@
 	active atomic.Int64
 	rooms  rooms
 	stays  stays
+	pace   selector.Pace
 }
 
 // New returns a relayer that refuses everything until it has a table.
 func New(settings Settings) *Relayer {
-	return &Relayer{Settings: settings, rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}}}
+	return &Relayer{Settings: settings, rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, rates: map[string]rate{}}}
 }
 
 // SetTable puts a table in force if its version is higher.
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -13,9 +14,8 @@
 )
 
 const (
-	// startMillis is what passes between the start of a prefill and the first event,
-	// beside the reading of the prompt.
-	startMillis = 190
+	// startMillis is what passes until the first event beside the prefill.
+	startMillis = 70
 	// longestWaitMillis is how long after its arrival a request may start: its
 	// caller gives up when the first event does not come.
 	longestWaitMillis = 2500
@@ -29,6 +29,8 @@
 	// hintFactor times the caller's hint is what is expected to be generated: the
 	// hint is right at the median only.
 	hintFactor = 1.3
+	// rateSeconds is how long what came counts in a rate.
+	rateSeconds = 3
 	// claimMillis is how often a claimed engine is asked for room.
 	claimMillis = 25
 	// holdCallMillis bounds the call that sets memory aside.
@@ -57,9 +59,10 @@
 type rooms struct {
 	changed func() <-chan struct{}
 
-	// mu guards queues.
+	// mu guards everything below.
 	mu     sync.Mutex
 	queues map[string]*queuer.Queue
+	rates  map[string]rate
 }
 
 func (r *rooms) queue(service string) *queuer.Queue {
@@ -73,22 +76,44 @@
 	return q
 }
 
-// Waiting returns the memory for which requests wait, by service, as uses of an
-// endpoint that stands for the queue.
-func (r *Relayer) Waiting() []figseam.EndpointUse {
+// Demand returns what the requests of this instance ask of each service, as uses
+// of endpoints that stand for it: the memory for which they wait, and the prefill
+// that they bring in a second.
+func (r *Relayer) Demand() []figseam.EndpointUse {
 	r.rooms.mu.Lock()
 	defer r.rooms.mu.Unlock()
 	var all []figseam.EndpointUse
 	for service, q := range r.rooms.queues {
 		if n := q.Tokens(); n > 0 {
-			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(queueName(service)), Tokens: n})
+			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(QueueName(service)), Tokens: n})
+		}
+		if rate := r.rooms.rates[service].perSecond(time.Now()); rate >= 1 {
+			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(PrefillName(service)), WorkMillis: int(rate)})
 		}
 	}
 	return all
 }
 
-// queueName names the endpoint that stands for a service's queue.
-func queueName(service string) string { return "queue/" + service }
+// QueueName names the endpoint that stands for a service's queue.
+func QueueName(service string) string { return "queue/" + service }
+
+// PrefillName names the endpoint that stands for the prefill that a service's
+// requests bring.
+func PrefillName(service string) string { return "prefill/" + service }
+
+// rate is how much comes in a second; what came long ago counts less.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r rate) perSecond(now time.Time) float64 {
+	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateSeconds)
+}
+
+func (r rate) with(amount float64, now time.Time) rate {
+	return rate{value: r.perSecond(now) + amount/rateSeconds, at: now}
+}
 
 // stays is the mean time that requests keep their memory on a decode engine.
 type stays struct {
@@ -182,6 +207,13 @@
 	claims bool
 }
 
+// count notes the prefill that a request brings.
+func (r *rooms) count(service string, millis float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rates[service] = r.rates[service].with(millis, time.Now())
+}
+
 // newTurn refuses at once what would get room too late for its caller.
 func (t *task) newTurn(now time.Time) (*turn, figseam.Code) {
 	u := &turn{task: t, queue: t.rooms.queue(t.service), need: t.expectedTokens()}
@@ -294,7 +326,8 @@
 // startMillis returns what is expected to pass until the first event once there is
 // room.
 func (t *task) startMillis() float64 {
-	return startMillis + float64(t.request.Prompt.InputTokens)/prefillTokensPerMilli
+	fixed, reading := t.pace.Millis(t.request.Prompt.InputTokens)
+	return startMillis + fixed + reading
 }
 
 // expectedTokens returns the memory that the request is expected to need.
@@ -312,7 +345,7 @@
 func (t *task) load(queue *queuer.Queue) (queuer.Load, int) {
 	memory := t.memoryTokens()
 	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForDecode || t.avoid[e.ID] }
-	l := queuer.Load{StayMillis: t.stays.get(), WaitingTokens: queue.Tokens() + t.Board.OtherTokens(queueName(t.service))}
+	l := queuer.Load{StayMillis: t.stays.get(), WaitingTokens: queue.Tokens() + t.Board.OtherTokens(QueueName(t.service))}
 	engines := 0
 	for _, c := range t.Board.Candidates(t.List.Service(t.service), skip, 0, memory) {
 		engines++
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -28,7 +28,7 @@
 	entryListPart = 0.65
 	// shareMillis is how often what is under way is shared, shareCallMillis how long
 	// one exchange may take.
-	shareMillis     = 100
+	shareMillis     = 50
 	shareCallMillis = 400
 	// tidyMillis is how often idle connections and old records are looked at.
 	tidyMillis = 1000
@@ -207,7 +207,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareCallMillis*time.Millisecond)
 	defer cancel()
-	report := sharer.Report{Instance: e.settings.Self(), Uses: append(e.board.Own(), e.relayer.Waiting()...)}
+	report := sharer.Report{Instance: e.settings.Self(), Uses: append(e.board.Own(), e.relayer.Demand()...)}
 	others, err := messenger.Call[sharer.Report, []figseam.EndpointUse](ctx, e.messenger, string(to), kindShare, report)
 	if err != nil {
 		e.log.Debug().Err(err).Str("keeper", string(to)).Msg("use of endpoints not shared")
--- /dev/null
+++ b/runner/staging.go
@@ -0,0 +1,177 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/keeper"
+	"github.com/figseam/figseam/platform"
+	"github.com/figseam/figseam/relayer"
+	"github.com/figseam/figseam/sharer"
+	"github.com/figseam/figseam/stager"
+)
+
+const (
+	// stageMillis is how often the stages of engines are looked at.
+	stageMillis = 500
+	// leaseSlackMillis is added to the time in which no two instances may both give
+	// orders.
+	leaseSlackMillis = 1000
+	// spreadWaitMillis is how long before an order the engine is listed as leaving.
+	spreadWaitMillis = 400
+	// listLagMillis is how long after a change the list may still show the former
+	// stage.
+	listLagMillis = 2000
+	// orderMillis bounds a call to an engine.
+	orderMillis = 800
+	// orderPauseMillis is the least time between two orders.
+	orderPauseMillis = 1500
+)
+
+// stewardship gives orders to engines while this voter leads. One leader has a
+// term, which is the fencing number; a new leader waits until the orders of the
+// last one cannot come any more, and every order follows a proof of leadership.
+type stewardship struct {
+	*Voter
+	steward figseam.Steward
+	proof   *keeper.Keeper
+	term    uint64
+	// begins is when a term's orders may begin, pausedUntil when the next one may
+	// follow.
+	begins      figseam.Deadline
+	pausedUntil figseam.Deadline
+	// fenced is a term in which an engine saw a higher fencing number.
+	fenced uint64
+	table  *figseam.Table
+	// changing are the engines that were ordered lately; the list may still show
+	// their former stage.
+	changing map[string]changing
+}
+
+type changing struct {
+	stage figseam.EndpointStage
+	until figseam.Deadline
+}
+
+// keepStages runs until ctx ends.
+func (v *Voter) keepStages(ctx context.Context) <-chan struct{} {
+	ended := make(chan struct{})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	s := &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}}
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(stageMillis * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				s.look(ctx)
+			}
+		}
+	}()
+	return ended
+}
+
+// look changes an engine's stage if that is called for.
+func (s *stewardship) look(ctx context.Context) {
+	status := s.node.Status()
+	if status.Role != "leader" {
+		s.term = 0
+		return
+	}
+	if s.term != status.Term {
+		s.term = status.Term
+		s.begins = figseam.DeadlineAfterMillis(int64(s.settings.OrderLeaseMillis) + leaseSlackMillis)
+	}
+	if !s.begins.Passed() || s.fenced == s.term || (!s.pausedUntil.IsZero() && !s.pausedUntil.Passed()) {
+		return
+	}
+	s.loadTable()
+	if s.table == nil {
+		return
+	}
+	uses := s.sums.Total()
+	for _, service := range s.list.Services() {
+		traits := s.table.Services[service].Engine
+		if traits == nil || traits.SwitchMillis <= 0 {
+			continue
+		}
+		if c, ok := stager.Decide(s.load(service, traits, uses)); ok {
+			s.change(ctx, service, traits, c)
+			return
+		}
+	}
+}
+
+// loadTable reads the newest configuration.
+func (s *stewardship) loadTable() {
+	d, _ := s.machine.Current()
+	if d.Version == 0 || (s.table != nil && s.table.Version == d.Version) {
+		return
+	}
+	text, err := keeper.Unpack(d.Packed)
+	if err != nil {
+		s.log.Error().Err(err).Uint64("version", d.Version).Msg("configuration cannot be unpacked")
+		return
+	}
+	table, err := platform.DecodeConfig(text)
+	if err != nil {
+		s.log.Error().Err(err).Uint64("version", d.Version).Msg("configuration cannot be read")
+		return
+	}
+	s.table = table
+}
+
+func (s *stewardship) load(service string, traits *figseam.EngineTraits, uses sharer.Uses) stager.Load {
+	l := stager.Load{
+		MemoryTokens:  traits.MemoryTokens,
+		WaitingTokens: uses.Of(relayer.QueueName(service)).Tokens,
+		PrefillMillis: float64(uses.Of(relayer.PrefillName(service)).WorkMillis),
+	}
+	for _, e := range s.list.Service(service) {
+		if c, ok := s.changing[e.ID]; ok && !c.until.Passed() {
+			e.Stage, e.Leaving = c.stage, false
+		}
+		l.Engines = append(l.Engines, stager.Engine{Endpoint: e, Tokens: uses.Of(e.ID).Tokens})
+	}
+	return l
+}
+
+// change lists the engine as leaving, proves that this voter still leads, and
+// gives the order.
+func (s *stewardship) change(ctx context.Context, service string, traits *figseam.EngineTraits, c stager.Change) {
+	ctx, cancel := context.WithTimeout(ctx, 2*orderMillis*time.Millisecond+spreadWaitMillis*time.Millisecond)
+	defer cancel()
+	s.pausedUntil = figseam.DeadlineAfterMillis(orderPauseMillis)
+	away := figseam.DeadlineAfterMillis(traits.SwitchMillis + listLagMillis)
+	s.changing[c.Endpoint.ID] = changing{stage: c.Stage, until: away}
+	s.list.Suspend(c.Endpoint.ID, figseam.DeadlineAfterMillis(traits.SwitchMillis+spreadWaitMillis))
+	line := s.log.Info().Str("service", service).Str("endpoint", c.Endpoint.ID).Uint64("fence", s.term).
+		Float64("prefill_load", c.PrefillLoad).Float64("decode_load", c.DecodeLoad).
+		Float64("prefill_after", c.PrefillAfter).Float64("decode_after", c.DecodeAfter).Int("stage", int(c.Stage))
+	state, err := s.steward.State(ctx, c.Endpoint)
+	if err != nil || state.Busy || state.Stage != c.Endpoint.Stage {
+		line.Err(err).Bool("busy", state.Busy).Msg("engine not ordered")
+		return
+	}
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(spreadWaitMillis * time.Millisecond):
+	}
+	if _, _, err := s.proof.Read(ctx); err != nil || s.node.Status().Term != s.term {
+		line.Err(err).Msg("engine not ordered: leadership is not certain")
+		return
+	}
+	outcome, err := s.steward.Order(ctx, c.Endpoint, figseam.StageOrder{
+		Stage: c.Stage, Holder: figseam.InstanceID(s.settings.Instance), Fence: s.term, Orders: state.Orders,
+	})
+	if outcome == figseam.OrderFenced {
+		s.fenced = s.term
+	}
+	line.Err(err).Int("outcome", int(outcome)).Msg("engine ordered to change its stage")
+}
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -166,7 +166,7 @@
 	v.servePeers(listeners)
 	v.serve(listeners[v.settings.Operators], platform.Operators(v.handler, v.log))
 	logEnded := v.node.Run(tasks)
-	ends := []<-chan struct{}{v.list.Run(tasks), v.follower.Run(tasks), v.share(tasks)}
+	ends := []<-chan struct{}{v.list.Run(tasks), v.follower.Run(tasks), v.share(tasks), v.keepStages(tasks)}
 	v.log.Info().Str("operators", v.settings.Operators).Str("replica", v.node.Self().Identity).Msg("started")
 	err = <-logEnded
 	v.log.Info().Err(err).Msg("ended")
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -77,6 +77,26 @@
 	return total.list()
 }
 
+// Uses are what instances have under way, by the hash of the endpoint's ID.
+type Uses map[uint32]figseam.EndpointUse
+
+// Of returns the use of an endpoint.
+func (u Uses) Of(id string) figseam.EndpointUse { return u[figseam.HashEndpoint(id)] }
+
+// Total returns what all instances have under way.
+func (s *Sums) Total() Uses {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := sum{}
+	for _, t := range s.entries {
+		total.add(t)
+	}
+	for _, t := range s.voters {
+		total.add(t)
+	}
+	return Uses(total)
+}
+
 // sum adds uses up by endpoint.
 type sum map[uint32]figseam.EndpointUse
 
--- a/table.go
+++ b/table.go
@@ -99,6 +99,9 @@
 	// HoldMillis is the longest time for which memory can be set aside; 0 if it
 	// cannot.
 	HoldMillis int64
+	// SwitchMillis is how long an engine is away while it changes its stage; 0 if
+	// it cannot.
+	SwitchMillis int64
 }
 
 // RequestLimits bound what a caller may send and how long it may take.
--- a/wire.go
+++ b/wire.go
@@ -1,6 +1,7 @@
 package figseam
 
 import (
+	"context"
 	"errors"
 	"net/http"
 )
@@ -124,3 +125,47 @@
 
 // ErrBadRequest means that a request cannot be read.
 var ErrBadRequest = errors.New("request cannot be read")
+
+// EngineState is what an engine says of itself.
+type EngineState struct {
+	Stage EndpointStage
+	// Busy tells that an order is being carried out.
+	Busy bool
+	// Orders is the number of orders that the engine accepted since its start.
+	Orders int64
+}
+
+// StageOrder tells an engine to take another part of generations.
+type StageOrder struct {
+	Stage EndpointStage
+	// Holder is the instance that gives the order, Fence the number of its right to
+	// do so. An engine that checks them refuses a lower number than it saw.
+	Holder InstanceID
+	Fence  uint64
+	// Orders must be the engine's own number, or it refuses.
+	Orders int64
+}
+
+// OrderOutcome is an engine's answer to an order.
+type OrderOutcome int
+
+// Outcomes of orders.
+const (
+	OrderAccepted OrderOutcome = iota + 1
+	// OrderHolds means that the engine is as ordered already.
+	OrderHolds
+	// OrderConflict means that another order is being carried out or was since.
+	OrderConflict
+	// OrderFenced means that another holder used a higher fencing number.
+	OrderFenced
+	// OrderRefused means that the engine takes no such order.
+	OrderRefused
+)
+
+// Steward gives orders to engines.
+type Steward interface {
+	State(ctx context.Context, e ListedEndpoint) (EngineState, error)
+	// Order returns an error if there is no answer; the order may then be carried
+	// out at any later time.
+	Order(ctx context.Context, e ListedEndpoint, order StageOrder) (OrderOutcome, error)
+}
