--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -45,7 +45,7 @@
 func (t *task) generate(ctx context.Context) {
 	code := explainer.NoEndpoint
 	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
-	t.rooms.count(t.service, reading)
+	t.rooms.count(t.service, reading, t.expectedTokens(), t.stays.get())
 	prefilling := true
 	for connects := 0; connects < connectTries; {
 		var seat *seat
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -66,7 +66,7 @@
 
 // New returns a relayer that refuses everything until it has a table.
 func New(settings Settings) *Relayer {
-	return &Relayer{Settings: settings, rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, rates: map[string]rate{}}}
+	return &Relayer{Settings: settings, rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, demands: map[string]demand{}}}
 }
 
 // SetTable puts a table in force if its version is higher.
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -30,7 +30,7 @@
 	// hint is right at the median only.
 	hintFactor = 1.3
 	// rateSeconds is how long what came counts in a rate.
-	rateSeconds = 3
+	rateSeconds = 10
 	// claimMillis is how often a claimed engine is asked for room.
 	claimMillis = 25
 	// holdCallMillis bounds the call that sets memory aside.
@@ -62,7 +62,8 @@
 	// mu guards everything below.
 	mu     sync.Mutex
 	queues map[string]*queuer.Queue
-	rates  map[string]rate
+	// demands is what the requests of each service ask.
+	demands map[string]demand
 }
 
 func (r *rooms) queue(service string) *queuer.Queue {
@@ -87,8 +88,12 @@
 		if n := q.Tokens(); n > 0 {
 			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(QueueName(service)), Tokens: n})
 		}
-		if rate := r.rooms.rates[service].perSecond(time.Now()); rate >= 1 {
-			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(PrefillName(service)), WorkMillis: int(rate)})
+		d := r.rooms.demands[service]
+		now := time.Now()
+		if millis := d.prefill.perSecond(now); millis >= 1 {
+			all = append(all, figseam.EndpointUse{
+				Endpoint: figseam.HashEndpoint(DemandName(service)), WorkMillis: int(millis), Tokens: int(d.tokens.perSecond(now)),
+			})
 		}
 	}
 	return all
@@ -97,9 +102,15 @@
 // QueueName names the endpoint that stands for a service's queue.
 func QueueName(service string) string { return "queue/" + service }
 
-// PrefillName names the endpoint that stands for the prefill that a service's
-// requests bring.
-func PrefillName(service string) string { return "prefill/" + service }
+// DemandName names the endpoint that stands for what a service's requests ask in a
+// second: WorkMillis of prefill, and memory for Tokens, each held for a second.
+func DemandName(service string) string { return "demand/" + service }
+
+// demand is what the requests of a service ask.
+type demand struct {
+	prefill rate
+	tokens  rate
+}
 
 // rate is how much comes in a second; what came long ago counts less.
 type rate struct {
@@ -207,11 +218,17 @@
 	claims bool
 }
 
-// count notes the prefill that a request brings.
-func (r *rooms) count(service string, millis float64) {
+// count notes what a request asks: so much prefill, and memory for tokens during a
+// stay.
+func (r *rooms) count(service string, prefillMillis float64, tokens int, stayMillis float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.rates[service] = r.rates[service].with(millis, time.Now())
+	now := time.Now()
+	d := r.demands[service]
+	r.demands[service] = demand{
+		prefill: d.prefill.with(prefillMillis, now),
+		tokens:  d.tokens.with(float64(tokens)*stayMillis/1000, now),
+	}
 }
 
 // newTurn refuses at once what would get room too late for its caller.
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -127,11 +127,8 @@
 }
 
 func (s *stewardship) load(service string, traits *figseam.EngineTraits, uses sharer.Uses) stager.Load {
-	l := stager.Load{
-		MemoryTokens:  traits.MemoryTokens,
-		WaitingTokens: uses.Of(relayer.QueueName(service)).Tokens,
-		PrefillMillis: float64(uses.Of(relayer.PrefillName(service)).WorkMillis),
-	}
+	demand := uses.Of(relayer.DemandName(service))
+	l := stager.Load{MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.WorkMillis), DecodeTokens: float64(demand.Tokens)}
 	for _, e := range s.list.Service(service) {
 		if c, ok := s.changing[e.ID]; ok && !c.until.Passed() {
 			e.Stage, e.Leaving = c.stage, false
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -13,8 +13,10 @@
 const (
 	// prefillCeiling is how busy prefill engines may be before prompts queue up.
 	prefillCeiling = 0.8
+	// decodeCeiling is the part of decode engines' memory that can be used.
+	decodeCeiling = 0.9
 	// margin is by how much the busier side must gain.
-	margin = 0.1
+	margin = 0.06
 	// quiet is the load of the busier side below which nothing changes.
 	quiet = 0.2
 	// fewest is how many engines of a stage are kept.
@@ -30,12 +32,13 @@
 // Load is the load of a service's engines.
 type Load struct {
 	Engines []Engine
-	// MemoryTokens is the memory of one engine, WaitingTokens what requests wait
-	// for.
-	MemoryTokens  int
-	WaitingTokens int
-	// PrefillMillis is how many milliseconds of prefill arrive in a second.
+	// MemoryTokens is the memory of one engine.
+	MemoryTokens int
+	// PrefillMillis is how many milliseconds of prefill arrive in a second,
+	// DecodeTokens how much memory is asked for in a second, for a second. Both are
+	// means over the same time, so a burst raises them alike.
 	PrefillMillis float64
+	DecodeTokens  float64
 }
 
 // Change is a decision to change an engine's stage, with the loads that led to it.
@@ -51,7 +54,6 @@
 // Decide returns the change to make, if any.
 func Decide(l Load) (Change, bool) {
 	var prefill, decode []Engine
-	tokens := l.WaitingTokens
 	for _, e := range l.Engines {
 		switch {
 		case e.Endpoint.Leaving:
@@ -60,14 +62,13 @@
 			prefill = append(prefill, e)
 		case e.Endpoint.Stage == figseam.StageForDecode:
 			decode = append(decode, e)
-			tokens += e.Tokens
 		}
 	}
 	if len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
 		return Change{}, false
 	}
 	prefillLoad := func(n int) float64 { return l.PrefillMillis / (1000 * prefillCeiling * float64(n)) }
-	decodeLoad := func(n int) float64 { return float64(tokens) / (float64(l.MemoryTokens) * float64(n)) }
+	decodeLoad := func(n int) float64 { return l.DecodeTokens / (decodeCeiling * float64(l.MemoryTokens) * float64(n)) }
 	p, d := len(prefill), len(decode)
 	now := max(prefillLoad(p), decodeLoad(d))
 	if now < quiet {
