--- a/stager/stager.go
+++ b/stager/stager.go
@@ -16,7 +16,7 @@
 	// decodeCeiling is the part of decode engines' memory that can be used.
 	decodeCeiling = 0.9
 	// margin is by how much the busier side must gain.
-	margin = 0.06
+	margin = 0.15
 	// quiet is the load of the busier side below which nothing changes.
 	quiet = 0.2
 	// fewest is how many engines of a stage are kept.
