--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -191,13 +191,15 @@
 }
 
 func (t *task) readBody(q *http.Request, limit int64) ([]byte, int, figseam.Code) {
+	// The server reads what is left of a refused body, for so long at most.
+	_ = t.control.SetReadDeadline(time.Now().Add(bodyMillis * time.Millisecond))
 	if q.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
 	}
 	if q.ContentLength == 0 {
+		_ = t.control.SetReadDeadline(time.Time{})
 		return nil, 0, ""
 	}
-	_ = t.control.SetReadDeadline(time.Now().Add(bodyMillis * time.Millisecond))
 	body, err := io.ReadAll(io.LimitReader(q.Body, limit+1))
 	switch {
 	case err != nil:
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -186,6 +186,13 @@
 			turn.unclaim()
 			return nil, code
 		}
+		if code != explainer.EndpointRefused {
+			if turn.failures++; turn.failures >= connectTries {
+				turn.unclaim()
+				return nil, code
+			}
+			continue
+		}
 		t.refusals++
 		if !turn.claims {
 			t.Board.Full(e)
@@ -216,6 +223,8 @@
 	until   figseam.Deadline
 	// claims tells that the request holds its queue's claim.
 	claims bool
+	// failures counts the engines that could not be asked.
+	failures int
 }
 
 // count notes what a request asks: so much prefill, and memory for tokens during a
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	heartbeatMillis   = 150
 	electionMinMillis = 700
 	electionMaxMillis = 1400
+	// firstElectionMillis bounds the time until a replica that starts asks for votes.
+	firstElectionMillis = 500
 	// requestMillis bounds one request to a peer.
 	requestMillis = 600
 	// batchEntries and batchBytes bound one AppendRequest.
@@ -215,7 +218,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n.mu.Lock()
 	n.base0 = ctx
-	n.resetElection()
+	// After a start of the whole group nobody leads. Asking soon deposes no leader
+	// that there is: voters that hear one refuse.
+	n.electAt = time.Now().Add(rand.N(firstElectionMillis * time.Millisecond))
 	n.mu.Unlock()
 	n.tasks.Go(func() { n.watchTime(ctx) })
 	n.tasks.Go(func() { n.writeBatches(ctx) })
