--- /dev/null
+++ b/queuer/queuer_test.go
@@ -0,0 +1,122 @@
+package queuer_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/queuer"
+)
+
+func TestBefore(t *testing.T) {
+	now := time.Now()
+	waiting := func(priority int, startIn, arrived time.Duration) queuer.Waiting {
+		return queuer.Waiting{Priority: priority, StartBy: now.Add(startIn), Arrived: now.Add(arrived)}
+	}
+	tests := []struct {
+		name   string
+		first  queuer.Waiting
+		second queuer.Waiting
+	}{
+		{"in time before late", waiting(1, time.Second, 0), waiting(1, -time.Second, -time.Minute)},
+		{"in time before late and more urgent", waiting(2, time.Second, 0), waiting(0, -time.Second, 0)},
+		{"urgent first", waiting(0, 2*time.Second, 0), waiting(1, time.Second, 0)},
+		{"pressing first", waiting(1, time.Second, 0), waiting(1, 2*time.Second, -time.Second)},
+		{"then by arrival", waiting(1, time.Second, -time.Second), waiting(1, time.Second, 0)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.True(t, queuer.Before(test.first, test.second, now))
+			require.False(t, queuer.Before(test.second, test.first, now))
+		})
+	}
+}
+
+func TestExpectedWait(t *testing.T) {
+	tests := []struct {
+		name string
+		load queuer.Load
+		need int
+		want float64
+	}{
+		{"room", queuer.Load{MemoryTokens: 100, UsedTokens: 50, StayMillis: 1000}, 50, 0},
+		{"a tenth too little", queuer.Load{MemoryTokens: 100, UsedTokens: 100, StayMillis: 1000}, 10, 100},
+		{"behind others", queuer.Load{MemoryTokens: 100, UsedTokens: 100, WaitingTokens: 40, StayMillis: 1000}, 10, 500},
+		{"nothing known", queuer.Load{}, 10, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.InDelta(t, test.want, queuer.ExpectedWaitMillis(test.load, test.need), 0.001)
+		})
+	}
+}
+
+// burst replays more requests than there is room for: places come free one by one,
+// and those that can still be in time are served before those that cannot.
+func TestBurstServesThoseInTimeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		freed := make(chan struct{})
+		q := queuer.New(func() <-chan struct{} { return freed })
+		places := 0
+		var order []string
+		take := func(name string) func() bool {
+			return func() bool {
+				if places == 0 {
+					return false
+				}
+				places--
+				order = append(order, name)
+				return true
+			}
+		}
+		now := time.Now()
+		for _, w := range []struct {
+			name    string
+			startIn time.Duration
+		}{{"late", -time.Second}, {"relaxed", 900 * time.Millisecond}, {"pressing", 500 * time.Millisecond}} {
+			go q.Wait(t.Context(), queuer.Waiting{StartBy: now.Add(w.startIn), Arrived: now, Tokens: 10},
+				figseam.DeadlineAfterMillis(5000), take(w.name))
+			synctest.Wait()
+		}
+		require.Equal(t, 30, q.Tokens())
+		for range 3 {
+			places++
+			old := freed
+			freed = make(chan struct{})
+			close(old)
+			synctest.Wait()
+		}
+		require.Equal(t, []string{"pressing", "relaxed", "late"}, order)
+		require.Zero(t, q.Tokens())
+	})
+}
+
+func TestWaitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := queuer.New(func() <-chan struct{} { return nil })
+		full := func() bool { return false }
+		began := time.Now()
+		require.False(t, q.Wait(t.Context(), queuer.Waiting{Tokens: 1}, figseam.DeadlineAfterMillis(300), full))
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		require.False(t, q.Wait(ctx, queuer.Waiting{Tokens: 1}, figseam.DeadlineAfterMillis(300), full))
+		require.Zero(t, q.Tokens())
+	})
+}
+
+func TestClaimsAreBounded(t *testing.T) {
+	q := queuer.New(func() <-chan struct{} { return nil })
+	var given []bool
+	for range 5 {
+		given = append(given, q.Claim())
+	}
+	require.Equal(t, 3, len(slices.DeleteFunc(given, func(b bool) bool { return !b })))
+	q.Unclaim()
+	require.True(t, q.Claim())
+}
--- /dev/null
+++ b/selector/selector_test.go
@@ -0,0 +1,116 @@
+package selector_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/selector"
+)
+
+func at(id string, centre figseam.DataCentre) figseam.ListedEndpoint {
+	return figseam.ListedEndpoint{ID: id, Address: id, DataCentre: centre, Service: "s"}
+}
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func TestChoose(t *testing.T) {
+	resting := selector.Candidate{Endpoint: at("resting", "here"), InRow: 3, SinceFailureMillis: 10}
+	tests := []struct {
+		name       string
+		candidates []selector.Candidate
+		want       string
+		reason     figseam.Code
+	}{
+		{"none", nil, "", ""},
+		{"least work", []selector.Candidate{{Endpoint: at("a", "here"), WorkMillis: 40}, {Endpoint: at("b", "here"), WorkMillis: 10}}, "b", selector.ReasonLeastWork},
+		{"near before far", []selector.Candidate{{Endpoint: at("a", "there")}, {Endpoint: at("b", "here")}}, "b", selector.ReasonLeastWork},
+		{"far before busy", []selector.Candidate{{Endpoint: at("a", "there")}, {Endpoint: at("b", "here"), WorkMillis: 100}}, "a", selector.ReasonLeastWork},
+		{"emptier memory", []selector.Candidate{{Endpoint: at("a", "here"), FillShare: 0.8}, {Endpoint: at("b", "here"), FillShare: 0.5}}, "b", selector.ReasonLeastWork},
+		{"full is left out", []selector.Candidate{{Endpoint: at("a", "here"), Full: true}, {Endpoint: at("b", "here"), WorkMillis: 900}}, "b", selector.ReasonLeastWork},
+		{"resting is left alone while others are full", []selector.Candidate{resting, {Endpoint: at("b", "here"), Full: true}}, "", ""},
+		{"resting is used if all rest", []selector.Candidate{resting}, "resting", selector.ReasonLastHope},
+		{"trial after the rest", []selector.Candidate{{Endpoint: at("a", "here"), InRow: 2, SinceFailureMillis: 5000}}, "a", selector.ReasonTrial},
+		{
+			"one trial at a time",
+			[]selector.Candidate{{Endpoint: at("a", "here"), InRow: 2, SinceFailureMillis: 5000, Trying: true}, {Endpoint: at("b", "here"), WorkMillis: 300}},
+			"b", selector.ReasonLeastWork,
+		},
+		{
+			"silent is avoided",
+			[]selector.Candidate{{Endpoint: at("a", "here"), SilentMillis: 900, PatienceMillis: 200}, {Endpoint: at("b", "there"), WorkMillis: 300}},
+			"b", selector.ReasonLeastWork,
+		},
+		{
+			"grey is avoided", []selector.Candidate{
+				{Endpoint: at("a", "here"), FailureShare: 0.6}, {Endpoint: at("b", "here"), WorkMillis: 100}, {Endpoint: at("c", "there"), WorkMillis: 200},
+			}, "b", selector.ReasonLeastWork,
+		},
+		{
+			"failures of the whole service count against nobody",
+			[]selector.Candidate{{Endpoint: at("a", "here"), FailureShare: 0.2}, {Endpoint: at("b", "here"), FailureShare: 0.2, WorkMillis: 30}},
+			"a", selector.ReasonLeastWork,
+		},
+		{
+			"doubt about a data centre whose endpoints rest", []selector.Candidate{
+				{Endpoint: at("a", "there")},
+				{Endpoint: at("x", "there"), InRow: 3, SinceFailureMillis: 1}, {Endpoint: at("y", "there"), InRow: 3, SinceFailureMillis: 1},
+				{Endpoint: at("b", "here"), WorkMillis: 200},
+			}, "b", selector.ReasonLeastWork,
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			choice, ok := selector.Choose(test.candidates, "here", source())
+			require.Equal(t, test.want != "", ok)
+			if ok {
+				require.Equal(t, test.want, choice.Candidate.Endpoint.ID)
+				require.Equal(t, test.reason, choice.Reason)
+			}
+		})
+	}
+}
+
+func all(figseam.ListedEndpoint) bool { return false }
+
+// TestBoardCountsWhatIsUnderWay holds the work, memory and failures of an endpoint
+// through begin and end, also when it starts anew under its name.
+func TestBoardCountsWhatIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := selector.NewBoard()
+		e := at("a", "here")
+		first := b.Begin(e, 50, 400)
+		second := b.Begin(e, 30, 200)
+		b.SetOthers([]figseam.EndpointUse{{Endpoint: figseam.HashEndpoint("a"), WorkMillis: 20, Tokens: 300}})
+		c := b.Candidates([]figseam.ListedEndpoint{e}, all, 200, 1000)[0]
+		require.InDelta(t, 100, c.WorkMillis, 0.01)
+		require.InDelta(t, 0.9, c.FillShare, 0.001)
+		require.True(t, c.Full)
+		first.End(selector.Bad)
+		second.End(selector.Bad)
+		c = b.Candidates([]figseam.ListedEndpoint{e}, all, 200, 1000)[0]
+		require.False(t, c.Full)
+		require.True(t, selector.Rests(c))
+		time.Sleep(2 * time.Second)
+		c = b.Candidates([]figseam.ListedEndpoint{e}, all, 200, 1000)[0]
+		require.False(t, selector.Rests(c))
+		require.Zero(t, c.WorkMillis, "what others reported is too old")
+		again := e
+		again.BornMillis = 7
+		require.Zero(t, b.Candidates([]figseam.ListedEndpoint{again}, all, 200, 1000)[0].InRow)
+	})
+}
+
+func TestPaceIsLearned(t *testing.T) {
+	var p selector.Pace
+	for tokens := 1000; tokens <= 9000; tokens += 500 {
+		p.Learn(tokens, 80+float64(tokens)/50)
+	}
+	fixed, reading := p.Millis(5000)
+	require.InDelta(t, 80, fixed, 1)
+	require.InDelta(t, 100, reading, 1)
+}
--- /dev/null
+++ b/stager/stager_test.go
@@ -0,0 +1,69 @@
+package stager_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/stager"
+)
+
+func load(prefill, decode int, prefillMillis, decodeTokens float64) stager.Load {
+	l := stager.Load{MemoryTokens: 1000, PrefillMillis: prefillMillis, DecodeTokens: decodeTokens}
+	add := func(n int, stage figseam.EndpointStage) {
+		for i := range n {
+			centre := figseam.DataCentre(fmt.Sprintf("dc%d", i%2))
+			l.Engines = append(l.Engines, stager.Engine{Endpoint: figseam.ListedEndpoint{
+				ID: fmt.Sprintf("%d-%d", stage, i), Stage: stage, DataCentre: centre,
+			}})
+		}
+	}
+	add(prefill, figseam.StageForPrefill)
+	add(decode, figseam.StageForDecode)
+	return l
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name string
+		load stager.Load
+		want figseam.EndpointStage
+	}{
+		{"balanced", load(4, 8, 1600, 3600), figseam.StageNone},
+		{"long answers", load(6, 6, 500, 6500), figseam.StageForDecode},
+		{"long prompts", load(3, 9, 2600, 2000), figseam.StageForPrefill},
+		{"hardly any load", load(6, 6, 50, 500), figseam.StageNone},
+		{"a few prefill engines stay", load(2, 10, 100, 9000), figseam.StageNone},
+		{"a few decode engines stay", load(10, 2, 9000, 100), figseam.StageNone},
+		{"no engines of a stage", load(0, 5, 500, 4000), figseam.StageNone},
+		{"a burst that raises both alike", load(4, 8, 3200, 7200), figseam.StageNone},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, ok := stager.Decide(test.load)
+			require.Equal(t, test.want != figseam.StageNone, ok)
+			require.Equal(t, test.want, c.Stage)
+		})
+	}
+}
+
+// TestChangesSettle holds that changes end: no load makes engines change to and fro.
+func TestChangesSettle(t *testing.T) {
+	for prefillMillis := 200.0; prefillMillis < 8000; prefillMillis += 350 {
+		for decodeTokens := 500.0; decodeTokens < 10_000; decodeTokens += 450 {
+			l := load(5, 7, prefillMillis, decodeTokens)
+			changes := 0
+			for c, ok := stager.Decide(l); ok; c, ok = stager.Decide(l) {
+				for i := range l.Engines {
+					if l.Engines[i].Endpoint.ID == c.Endpoint.ID {
+						l.Engines[i].Endpoint.Stage = c.Stage
+					}
+				}
+				changes++
+				require.Less(t, changes, 6)
+			}
+		}
+	}
+}
