--- a/connector/connector.go
+++ b/connector/connector.go
@@ -102,7 +102,6 @@
 	request Request
 	stop    func() bool
 	written chan error
-	wrote   bool
 	keep    bool
 	idleFor time.Duration
 	done    sync.Once
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -103,8 +103,10 @@
 		field string
 		value float64
 	}{
-		{"memory_mb", s.MemoryMegabytes}, {"grace_s", s.GraceSeconds},
-		{"endpoint_drain_ms", s.EndpointDrainMillis}, {"retry_window_s", s.RetryWindowSeconds},
+		{"memory_mb", s.MemoryMegabytes},
+		{"grace_s", s.GraceSeconds},
+		{"endpoint_drain_ms", s.EndpointDrainMillis},
+		{"retry_window_s", s.RetryWindowSeconds},
 	} {
 		if f.value <= 0 {
 			c.add(f.field, checker.CodeOutOfRange, "expected more than 0, found %g", f.value)
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -92,10 +92,10 @@
 			break
 		}
 	}
-	switch {
-	case code == explainer.CallerGone:
+	switch code {
+	case explainer.CallerGone:
 		t.gone()
-	case code == explainer.DeadlinePassed:
+	case explainer.DeadlinePassed:
 		t.expire()
 	default:
 		t.fail(code)
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -67,6 +67,11 @@
 type group struct {
 	voters []figseam.InstanceID
 
+	// seeds makes the group open: replicas look for it at these instances, and those
+	// in first start with the whole system.
+	seeds []figseam.InstanceID
+	first map[figseam.InstanceID]bool
+
 	// machines makes further state machines for each start of a replica.
 	machines func() []figseam.StateMachine
 
@@ -99,8 +104,16 @@
 	if g.machines != nil {
 		machines = append(machines, g.machines()...)
 	}
-	node, err := replicator.Open(replicator.Settings{Instance: name, Voters: g.voters, SnapshotEntries: 8}, r.disk, link{g, name},
-		machines, zerolog.Nop())
+	settings := replicator.Settings{Instance: name, Voters: g.voters, SnapshotEntries: 8}
+	if g.seeds != nil {
+		settings.Open, settings.FirstStart = true, g.first[name]
+		settings.Voters = g.seeds
+		if !settings.FirstStart {
+			// A later start is told of instances that are there then.
+			settings.Voters = slices.DeleteFunc(slices.Clone(g.voters), func(n figseam.InstanceID) bool { return n == name })
+		}
+	}
+	node, err := replicator.Open(settings, r.disk, link{g, name}, machines, zerolog.Nop())
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	g.mu.Lock()
--- a/replicator/grouping.go
+++ b/replicator/grouping.go
@@ -13,12 +13,12 @@
 
 const (
 	// maintainMillis is how often the group's membership is looked at.
-	maintainMillis = 300
+	maintainMillis = 150
 	// caughtUpEntries is how far a learner may be behind when it becomes a voter.
 	caughtUpEntries = 16
 	// silentVoterMillis is how long a voter that others may replace must have been
 	// silent before it is removed.
-	silentVoterMillis = 1500
+	silentVoterMillis = 900
 )
 
 // maintainGroup founds or joins a group while the replica is fresh, and changes
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -17,8 +17,8 @@
 
 const (
 	heartbeatMillis   = 150
-	electionMinMillis = 700
-	electionMaxMillis = 1400
+	electionMinMillis = 500
+	electionMaxMillis = 1000
 	// firstElectionMillis bounds the time until a replica that starts asks for votes.
 	firstElectionMillis = 500
 	// requestMillis bounds one request to a peer.
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -58,7 +58,8 @@
 		{
 			"doubt about a data centre whose endpoints rest", []selector.Candidate{
 				{Endpoint: at("a", "there")},
-				{Endpoint: at("x", "there"), InRow: 3, SinceFailureMillis: 1}, {Endpoint: at("y", "there"), InRow: 3, SinceFailureMillis: 1},
+				{Endpoint: at("x", "there"), InRow: 3, SinceFailureMillis: 1},
+				{Endpoint: at("y", "there"), InRow: 3, SinceFailureMillis: 1},
 				{Endpoint: at("b", "here"), WorkMillis: 200},
 			}, "b", selector.ReasonLeastWork,
 		},
