--- /dev/null
+++ b/lister/lister_test.go
@@ -0,0 +1,113 @@
+package lister_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/lister"
+)
+
+// source gives the endpoints of the moment and counts the readings.
+type source struct {
+	ids   []string
+	fails bool
+	reads int
+}
+
+func (s *source) Read(context.Context) ([]figseam.ListedEndpoint, error) {
+	s.reads++
+	if s.fails {
+		return nil, errors.New("no answer")
+	}
+	var all []figseam.ListedEndpoint
+	for _, id := range s.ids {
+		all = append(all, figseam.ListedEndpoint{ID: id, Service: "s", Address: id})
+	}
+	return all, nil
+}
+
+func start(t *testing.T, s *source, wanted time.Duration) *lister.List {
+	l := lister.New(s, func() time.Duration { return wanted }, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := l.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return l
+}
+
+func ids(l *lister.List) (all []string) {
+	for _, e := range l.Service("s") {
+		all = append(all, e.ID)
+	}
+	return all
+}
+
+// TestListSpreadsWithoutFurtherReadings holds that an instance that is told often
+// enough does not read the list itself, and does so once it is no longer told.
+func TestListSpreadsWithoutFurtherReadings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := &source{ids: []string{"a"}}, &source{ids: []string{"a", "b"}}
+		reader := start(t, near, 500*time.Millisecond)
+		told := start(t, far, 2*time.Second)
+		for range 50 {
+			time.Sleep(200 * time.Millisecond)
+			digest, _ := told.Digest()
+			told.Merge(reader.Reading(digest))
+		}
+		require.Equal(t, []string{"a"}, ids(told))
+		before := far.reads
+		require.LessOrEqual(t, before, 1)
+		time.Sleep(3 * time.Second)
+		require.Greater(t, far.reads, before)
+		require.Equal(t, []string{"a", "b"}, ids(told))
+	})
+}
+
+func TestOlderReadingsChangeNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := lister.New(&source{}, func() time.Duration { return time.Hour }, zerolog.Nop())
+		time.Sleep(time.Minute)
+		reading := func(id string, age int64) lister.Reading {
+			return lister.Reading{Known: true, AgeMillis: age, Digest: uint64(age), Endpoints: []figseam.ListedEndpoint{{ID: id, Service: "s"}}}
+		}
+		l.Merge(reading("new", 100))
+		l.Merge(reading("old", 900))
+		require.Equal(t, []string{"new"}, ids(l))
+		l.Merge(lister.Reading{})
+		require.Equal(t, []string{"new"}, ids(l))
+	})
+}
+
+// TestLostPlatformIsNotAskedInALoop counts the calls while the platform is down.
+func TestLostPlatformIsNotAskedInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{fails: true}
+		l := start(t, s, 100*time.Millisecond)
+		time.Sleep(10 * time.Second)
+		require.LessOrEqual(t, s.reads, 26)
+		require.False(t, l.Known())
+	})
+}
+
+func TestSuspendedEndpointIsLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := start(t, &source{ids: []string{"a", "b"}}, 500*time.Millisecond)
+		time.Sleep(time.Second)
+		l.Suspend("a", figseam.DeadlineAfterMillis(2000))
+		require.True(t, l.Service("s")[0].Leaving)
+		time.Sleep(time.Second)
+		require.True(t, l.Service("s")[0].Leaving)
+		require.False(t, l.Service("s")[1].Leaving)
+		time.Sleep(2 * time.Second)
+		require.False(t, l.Service("s")[0].Leaving)
+	})
+}
--- /dev/null
+++ b/loader/relay_test.go
@@ -0,0 +1,50 @@
+package loader_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/loader"
+)
+
+const entrySettings = `{
+  "instance": "front-1", "data_centre": "dc",
+  "callers": "10.0.0.1:80", "readiness": "10.0.0.1:81", "peers": "10.0.0.1:7000", "metrics": "10.0.0.1:9464",
+  "seeds": ["10.0.0.2:90", "10.0.0.3:90"], "list": "10.0.0.9:80",
+  "memory_mb": 134, "grace_s": 8, "endpoint_drain_ms": 3000,
+  "retry_share": 0.2, "retry_allowance": 56, "retry_window_s": 10
+}`
+
+func TestRelaySettings(t *testing.T) {
+	s, faults := loader.ParseRelay("entry.json", []byte(entrySettings), false)
+	require.Empty(t, faults)
+	require.Equal(t, figseam.InstanceID("10.0.0.1:7000"), s.Self())
+	require.Equal(t, []figseam.InstanceID{"10.0.0.2:7000", "10.0.0.3:7000"}, s.Voters())
+}
+
+func TestFaultyRelaySettings(t *testing.T) {
+	tests := []struct {
+		name, old, replacement string
+		voter                  bool
+		fault                  string
+	}{
+		{"unknown field", `"instance"`, `"instances": 1, "instance"`, false, `entry.json:2: field "instances"`},
+		{"missing field", `"memory_mb": 134, `, ``, false, `field "memory_mb"`},
+		{"no address", `"10.0.0.1:80"`, `"here"`, false, `entry.json:3: field "callers"`},
+		{"seed that is no address", `"10.0.0.3:90"`, `"10.0.0.3"`, false, `entry.json:4: field "seeds"`},
+		{"impossible share", `"retry_share": 0.2`, `"retry_share": 2`, false, `entry.json:6: field "retry_share"`},
+		{"wrong type", `"grace_s": 8`, `"grace_s": "8"`, false, `entry.json:5: field "grace_s"`},
+		{"cut short", `"retry_window_s": 10`, ``, false, `entry.json`},
+		{"voter without a data folder", `"list"`, `"operators": "10.0.0.1:90", "list"`, true, `field "data_folder"`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, faults := loader.ParseRelay("entry.json", []byte(strings.Replace(entrySettings, test.old, test.replacement, 1)), test.voter)
+			require.NotEmpty(t, faults)
+			require.ErrorContains(t, faults[0], test.fault)
+		})
+	}
+}
