--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -120,6 +120,8 @@
 		return selector.Good
 	case explainer.CallerGone, explainer.DeadlinePassed:
 		return selector.Neutral
+	case explainer.NotConnected, explainer.EndpointSilent:
+		return selector.Unreachable
 	}
 	return selector.Bad
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -26,6 +26,8 @@
 	bodyMillis = 5000
 	// defaultBodyBytes bounds a body where the table names no limit.
 	defaultBodyBytes = 4 << 20
+	// firstTableMillis is how long a request waits for the instance's first table.
+	firstTableMillis = 800
 	// writeSlackMillis is how long behind its deadline an answer may still be
 	// written.
 	writeSlackMillis = 500
@@ -62,11 +64,13 @@
 	rooms  rooms
 	stays  stays
 	pace   selector.Pace
+	// hasTable is closed when there is a first table.
+	hasTable chan struct{}
 }
 
 // New returns a relayer that refuses everything until it has a table.
 func New(settings Settings) *Relayer {
-	return &Relayer{Settings: settings, rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, demands: map[string]demand{}}}
+	return &Relayer{Settings: settings, hasTable: make(chan struct{}), rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, demands: map[string]demand{}}}
 }
 
 // SetTable puts a table in force if its version is higher.
@@ -76,9 +80,13 @@
 		if old != nil && old.Table().Version >= t.Version {
 			return
 		}
-		if r.index.CompareAndSwap(old, matcher.New(t)) {
-			return
+		if !r.index.CompareAndSwap(old, matcher.New(t)) {
+			continue
+		}
+		if old == nil {
+			close(r.hasTable)
 		}
+		return
 	}
 }
 
@@ -157,18 +165,18 @@
 // admit reads the request and finds its route. It reports false after it has
 // answered.
 func (t *task) admit(q *http.Request) bool {
-	index := t.index.Load()
-	if index == nil {
-		t.refuse(http.StatusServiceUnavailable, explainer.NoConfig)
-		return false
-	}
-	t.version = index.Table().Version
 	request, err := t.Wire.DecodeRequest(q)
 	if err != nil {
 		t.refuse(http.StatusBadRequest, explainer.BadRequest)
 		return false
 	}
 	t.request = request
+	index := t.awaitIndex(q.Context())
+	if index == nil {
+		t.refuse(http.StatusServiceUnavailable, explainer.NoConfig)
+		return false
+	}
+	t.version = index.Table().Version
 	route, ok := index.Find(request.Host, request.Path)
 	if !ok {
 		t.refuse(http.StatusNotFound, explainer.UnknownRoute)
@@ -190,6 +198,27 @@
 	return true
 }
 
+// awaitIndex returns the index in force. An instance that has just started waits a
+// little for its first table: the caller would only come back to another instance
+// that has started at the same time.
+func (t *task) awaitIndex(ctx context.Context) *matcher.Index {
+	if x := t.index.Load(); x != nil {
+		return x
+	}
+	wait := int64(firstTableMillis)
+	if !t.request.Deadline.IsZero() {
+		wait = min(wait, t.request.Deadline.RemainingMillis()/3)
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-t.hasTable:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return t.index.Load()
+}
+
 func (t *task) readBody(q *http.Request, limit int64) ([]byte, int, figseam.Code) {
 	// The server reads what is left of a refused body, for so long at most.
 	_ = t.control.SetReadDeadline(time.Now().Add(bodyMillis * time.Millisecond))
--- a/selector/board.go
+++ b/selector/board.go
@@ -29,6 +29,8 @@
 	othersMillis = 1500
 	// fullMillis is how long an endpoint that said that it is full is left alone.
 	fullMillis = 60
+	// doubtfulMillis is how long a data centre is in doubt.
+	doubtfulMillis = 3000
 	// memoryFill is the part of an engine's memory that requests are placed on.
 	memoryFill = 0.96
 )
@@ -58,6 +60,20 @@
 	others   map[uint32]figseam.EndpointUse
 	othersAt time.Time
 	changed  chan struct{}
+	centres  map[figseam.DataCentre]*contact
+}
+
+// contact is when endpoints of a data centre last answered, and when one could not
+// be reached.
+type contact struct {
+	answeredAt    time.Time
+	unreachableAt time.Time
+}
+
+// doubtful reports whether the data centre seems to be cut off: an endpoint could
+// not be reached lately, and none has answered since.
+func (c *contact) doubtful(now time.Time) bool {
+	return c != nil && c.unreachableAt.After(c.answeredAt) && now.Sub(c.unreachableAt) < doubtfulMillis*time.Millisecond
 }
 
 // key names one run of an endpoint: one that starts anew begins with a clean
@@ -69,7 +85,7 @@
 
 // NewBoard returns an empty board.
 func NewBoard() *Board {
-	return &Board{records: map[key]*record{}, changed: make(chan struct{})}
+	return &Board{records: map[key]*record{}, changed: make(chan struct{}), centres: map[figseam.DataCentre]*contact{}}
 }
 
 // Changed returns a channel that is closed when a place may have become free.
@@ -167,6 +183,7 @@
 	r := w.b.record(w.endpoint)
 	now := time.Now()
 	r.answeredAt = now
+	w.b.contact(w.endpoint).answeredAt = now
 	if !w.answered {
 		w.answered = true
 		millis := float64(now.Sub(w.began).Milliseconds())
@@ -186,8 +203,19 @@
 	Neutral Verdict = iota
 	Good
 	Bad
+	// Unreachable is Bad, and may be the fault of the way to the endpoint.
+	Unreachable
 )
 
+func (b *Board) contact(e figseam.ListedEndpoint) *contact {
+	c, ok := b.centres[e.DataCentre]
+	if !ok {
+		c = &contact{}
+		b.centres[e.DataCentre] = c
+	}
+	return c
+}
+
 // End notes how the request ended.
 func (w *Work) End(v Verdict) {
 	w.b.mu.Lock()
@@ -206,6 +234,9 @@
 		r.failureAt, r.inRow = now, 0
 	case Bad:
 		r.fail(now)
+	case Unreachable:
+		r.fail(now)
+		w.b.contact(w.endpoint).unreachableAt = now
 	case Neutral:
 	}
 }
@@ -286,6 +317,7 @@
 	}
 	c.FailureShare = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
 	c.InRow, c.Trying = r.inRow, r.trying
+	c.Doubtful = b.centres[e.DataCentre].doubtful(now)
 	c.SinceFailureMillis = float64(now.Sub(r.failureAt).Milliseconds())
 	c.PatienceMillis = max(patienceMillis, patienceFactor*r.latency)
 	if r.underWay > 0 {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -17,8 +17,8 @@
 	// failureMillis is charged in proportion to the share of failures beyond that
 	// of the service.
 	failureMillis = 600
-	// doubtMillis is charged for the others in a data centre all of whose endpoints
-	// rest.
+	// doubtMillis is charged for an endpoint in another data centre that seems to be
+	// cut off.
 	doubtMillis = 500
 	// silentMillis is charged for an endpoint that has not answered for unusually
 	// long while it has work.
@@ -54,6 +54,8 @@
 	// Trying tells that a request is already under way to find out whether the
 	// endpoint has recovered.
 	Trying bool
+	// Doubtful tells that its data centre seems to be cut off from here.
+	Doubtful bool
 	// Full tells that no place is free.
 	Full bool
 }
@@ -78,7 +80,6 @@
 // again sooner. It reports false when there is none with a free place.
 func Choose(candidates []Candidate, home figseam.DataCentre, random *rand.Rand) (Choice, bool) {
 	usual := usualFailures(candidates)
-	doubts := doubtfulShares(candidates)
 	best, fallback := Choice{Millis: math.Inf(1)}, Choice{Millis: math.Inf(1)}
 	well := false
 	for _, c := range candidates {
@@ -87,7 +88,7 @@
 		if c.Full {
 			continue
 		}
-		millis := charge(c, home, usual) + doubts[c.Endpoint.DataCentre]*doubtMillis + random.Float64()*spreadMillis
+		millis := charge(c, home, usual) + random.Float64()*spreadMillis
 		if rests && millis < fallback.Millis {
 			fallback = Choice{Candidate: c, Millis: millis, Reason: ReasonLastHope}
 		}
@@ -122,6 +123,9 @@
 	millis := c.WorkMillis + c.FillShare*fillMillis
 	if c.Endpoint.DataCentre != home {
 		millis += farMillis
+		if c.Doubtful {
+			millis += doubtMillis
+		}
 	}
 	if beyond := c.FailureShare - usual; beyond > 0 {
 		millis += beyond * failureMillis
@@ -132,22 +136,6 @@
 	return millis
 }
 
-// doubtfulShares returns the share of resting endpoints in each data centre: one
-// that is cut off shows by several endpoints at once.
-func doubtfulShares(candidates []Candidate) map[figseam.DataCentre]float64 {
-	all, resting := map[figseam.DataCentre]float64{}, map[figseam.DataCentre]float64{}
-	for _, c := range candidates {
-		all[c.Endpoint.DataCentre]++
-		if Rests(c) {
-			resting[c.Endpoint.DataCentre]++
-		}
-	}
-	for d, n := range resting {
-		resting[d] = n / all[d]
-	}
-	return resting
-}
-
 // usualFailures returns the median share of failures.
 func usualFailures(candidates []Candidate) float64 {
 	shares := make([]float64, 0, len(candidates))
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -56,11 +56,8 @@
 			"a", selector.ReasonLeastWork,
 		},
 		{
-			"doubt about a data centre whose endpoints rest", []selector.Candidate{
-				{Endpoint: at("a", "there")},
-				{Endpoint: at("x", "there"), InRow: 3, SinceFailureMillis: 1},
-				{Endpoint: at("y", "there"), InRow: 3, SinceFailureMillis: 1},
-				{Endpoint: at("b", "here"), WorkMillis: 200},
+			"doubt about a data centre that seems to be cut off", []selector.Candidate{
+				{Endpoint: at("a", "there"), Doubtful: true}, {Endpoint: at("b", "here"), WorkMillis: 200},
 			}, "b", selector.ReasonLeastWork,
 		},
 	}
@@ -106,6 +103,35 @@
 	})
 }
 
+// TestCutDataCentreIsInDoubt replays a data centre that is cut off: one endpoint
+// that cannot be reached puts all of them in doubt, until one answers.
+func TestCutDataCentreIsInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := selector.NewBoard()
+		endpoints := []figseam.ListedEndpoint{at("a", "there"), at("b", "there"), at("c", "here")}
+		doubtful := func() (ids []string) {
+			for _, c := range b.Candidates(endpoints, all, 0, 0) {
+				if c.Doubtful {
+					ids = append(ids, c.Endpoint.ID)
+				}
+			}
+			return ids
+		}
+		b.Begin(endpoints[0], 10, 0).End(selector.Bad)
+		require.Empty(t, doubtful(), "a failure that was answered is no doubt")
+		b.Begin(endpoints[0], 10, 0).End(selector.Unreachable)
+		require.Equal(t, []string{"a", "b"}, doubtful())
+		time.Sleep(time.Second)
+		b.Begin(endpoints[1], 10, 0).Answered()
+		require.Empty(t, doubtful())
+		time.Sleep(time.Millisecond)
+		b.Begin(endpoints[0], 10, 0).End(selector.Unreachable)
+		require.NotEmpty(t, doubtful())
+		time.Sleep(4 * time.Second)
+		require.Empty(t, doubtful())
+	})
+}
+
 func TestPaceIsLearned(t *testing.T) {
 	var p selector.Pace
 	for tokens := 1000; tokens <= 9000; tokens += 500 {
