--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -176,13 +176,12 @@
 }
 
 func (f *Follower) leave(from figseam.InstanceID, err error) {
-	if f.inTouch {
-		f.log.Warn().Err(err).Str("keeper", string(from)).Msg("keeper lost")
-	}
-	if from == f.current {
-		f.current, f.inTouch = "", false
-		f.keeper.Store(nil)
+	if from != f.current {
+		return
 	}
+	f.log.Warn().Err(err).Str("keeper", string(from)).Msg("keeper lost")
+	f.current, f.inTouch = "", false
+	f.keeper.Store(nil)
 }
 
 func (f *Follower) pause(ctx context.Context) {
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -81,6 +81,7 @@
 
 // callOnce sends the request to one endpoint and reads the whole answer.
 func (t *task) callOnce(ctx context.Context, e figseam.ListedEndpoint) (a answer, code figseam.Code) {
+	began := time.Now()
 	work := t.Board.Begin(e, callWorkMillis, 0)
 	verdict := selector.Bad
 	defer func() { work.End(verdict) }()
@@ -100,16 +101,25 @@
 		work.Answered()
 	}
 	if code != "" {
-		verdict = verdictOf(code)
+		verdict = t.verdictOfCall(code, began)
 		return answer{}, code
 	}
 	if response.Status < http.StatusMultipleChoices && !head.Signed {
 		return answer{}, explainer.AnswerSpoiled
 	}
 	body, code := readWhole(ctx, response)
-	verdict = verdictOf(code)
+	verdict = t.verdictOfCall(code, began)
 	if code == "" && response.Status >= http.StatusInternalServerError {
 		verdict = selector.Bad
 	}
 	return answer{status: response.Status, header: response.Header, body: body}, code
 }
+
+// verdictOfCall says what the end of a call tells of the endpoint. One that had the
+// call for longer than its answer was due, until the caller's time was over, failed.
+func (t *task) verdictOfCall(code figseam.Code, began time.Time) selector.Verdict {
+	if code == explainer.DeadlinePassed && time.Since(began).Milliseconds() > t.route.TargetMillis {
+		return selector.Bad
+	}
+	return verdictOf(code)
+}
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -169,6 +169,7 @@
 	for {
 		s, code := turn.wait(ctx)
 		if s == nil {
+			t.noteRetry(turn)
 			return nil, code
 		}
 		held := time.Now()
@@ -200,11 +201,18 @@
 		}
 		if code := turn.pause(ctx); code != "" {
 			turn.unclaim()
+			t.noteRetry(turn)
 			return nil, code
 		}
 	}
 }
 
+// noteRetry notes when a refused caller may come back.
+func (t *task) noteRetry(u *turn) {
+	load, _ := t.load(u.queue)
+	t.retryMillis = max(0, queuer.ExpectedWaitMillis(load, u.need)-returnSlackMillis)
+}
+
 // verdictOfHold says what a call to set memory aside tells of the engine: one that
 // has no room is well.
 func verdictOfHold(code figseam.Code) selector.Verdict {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -125,7 +125,7 @@
 	e.servePeers(listeners)
 	e.serve(listeners[e.settings.Readiness], platform.Readiness(e.ready))
 	callers := e.serve(listeners[e.settings.Callers], e.relayer)
-	ends := []<-chan struct{}{e.list.Run(tasks), e.follower.Run(tasks), e.share(tasks), e.tidy(tasks)}
+	ends := []<-chan struct{}{e.list.Run(tasks), e.follower.Run(tasks), every(tasks, shareMillis, e.share), every(tasks, tidyMillis, e.tidy)}
 	e.log.Info().Str("callers", e.settings.Callers).Msg("started")
 	<-ctx.Done()
 	e.leaving.Store(true)
@@ -162,45 +162,13 @@
 }
 
 // tidy closes connections to endpoints that are gone and forgets old records.
-func (e *Entry) tidy(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(tidyMillis * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				e.conns.Keep(e.list.Listed)
-				e.board.Forget()
-			}
-		}
-	}()
-	return ended
+func (e *Entry) tidy(context.Context) {
+	e.conns.Keep(e.list.Listed)
+	e.board.Forget()
 }
 
 // share tells a voter what is under way here, and learns what is elsewhere.
-func (e *Entry) share(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(shareMillis * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				e.shareOnce(ctx)
-			}
-		}
-	}()
-	return ended
-}
-
-func (e *Entry) shareOnce(ctx context.Context) {
+func (e *Entry) share(ctx context.Context) {
 	to := e.follower.Keeper()
 	if to == "" {
 		return
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -121,3 +121,23 @@
 	}
 	return string(data)
 }
+
+// every calls do at intervals until ctx ends. It returns a channel that is closed at
+// its end.
+func every(ctx context.Context, millis int64, do func(ctx context.Context)) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(time.Duration(millis) * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				do(ctx)
+			}
+		}
+	}()
+	return ended
+}
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -55,25 +55,10 @@
 	until figseam.Deadline
 }
 
-// keepStages runs until ctx ends.
-func (v *Voter) keepStages(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
+// newStewardship returns the stewardship of a voter.
+func newStewardship(v *Voter) *stewardship {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	s := &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}}
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(stageMillis * time.Millisecond)
-		defer ticker.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-				s.look(ctx)
-			}
-		}
-	}()
-	return ended
+	return &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}}
 }
 
 // look changes an engine's stage if that is called for.
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -40,7 +40,9 @@
 	follower *distributor.Follower
 	handler  *keeper.Keeper
 	sums     *sharer.Sums
-	seeds    atomic.Pointer[[]figseam.InstanceID]
+	// shared tells that the last sum that was told was not empty.
+	shared bool
+	seeds  atomic.Pointer[[]figseam.InstanceID]
 }
 
 // NewVoter joins the parts of a voter and reads its disk.
@@ -166,7 +168,7 @@
 	v.servePeers(listeners)
 	v.serve(listeners[v.settings.Operators], platform.Operators(v.handler, v.log))
 	logEnded := v.node.Run(tasks)
-	ends := []<-chan struct{}{v.list.Run(tasks), v.follower.Run(tasks), v.share(tasks), v.keepStages(tasks)}
+	ends := []<-chan struct{}{v.list.Run(tasks), v.follower.Run(tasks), every(tasks, shareMillis, v.share), every(tasks, stageMillis, newStewardship(v).look)}
 	v.log.Info().Str("operators", v.settings.Operators).Str("replica", v.node.Self().Identity).Msg("started")
 	err = <-logEnded
 	v.log.Info().Err(err).Msg("ended")
@@ -179,31 +181,18 @@
 }
 
 // share tells the other voters what the entries that report here have under way.
-func (v *Voter) share(ctx context.Context) <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		ticker := time.NewTicker(shareMillis * time.Millisecond)
-		defer ticker.Stop()
-		for told := false; ; {
-			select {
-			case <-ctx.Done():
-				return
-			case <-ticker.C:
-			}
-			uses := v.sums.Local()
-			if len(uses) == 0 && !told {
-				continue
-			}
-			told = len(uses) > 0
-			for _, to := range v.members() {
-				if to != v.settings.Self() {
-					messenger.Send(v.messenger, string(to), kindSum, sharer.Report{Instance: v.settings.Self(), Uses: uses})
-				}
-			}
+func (v *Voter) share(context.Context) {
+	uses := v.sums.Local()
+	if len(uses) == 0 && !v.shared {
+		return
+	}
+	v.shared = len(uses) > 0
+	report := sharer.Report{Instance: v.settings.Self(), Uses: uses}
+	for _, to := range v.members() {
+		if to != v.settings.Self() {
+			messenger.Send(v.messenger, string(to), kindSum, report)
 		}
-	}()
-	return ended
+	}
 }
 
 // RunVoter runs a voter, and another one on the same disk after the disk failed.
