--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -138,6 +138,24 @@
 	})
 }
 
+// TestStartBesideSilentVoters starts an instance while only one voter can be reached,
+// which is itself out of touch with the others, as in a data centre that is cut off.
+func TestStartBesideSilentVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		r, ended := newRig(ctx)
+		r.mu.Lock()
+		r.put(7)
+		r.voters["a"].cut, r.voters["b"].cut, r.voters["c"].quorum = true, true, false
+		r.mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		version, _ := r.has()
+		require.EqualValues(t, 7, version)
+		cancel()
+		<-ended
+	})
+}
+
 // TestNearVoterIsFollowed holds that an instance settles on the voter of its own
 // data centre, asks seldom without news, and is counted.
 func TestNearVoterIsFollowed(t *testing.T) {
@@ -149,12 +167,10 @@
 		r.calls = map[figseam.InstanceID]int{}
 		r.mu.Unlock()
 		time.Sleep(10 * time.Second)
-		r.mu.Lock()
+		cancel()
+		<-ended
 		require.Zero(t, r.calls["a"]+r.calls["c"])
 		require.LessOrEqual(t, r.calls["b"], 40)
 		require.Equal(t, 1, r.count)
-		r.mu.Unlock()
-		cancel()
-		<-ended
 	})
 }
--- a/distributor/follower.go
+++ b/distributor/follower.go
@@ -41,13 +41,14 @@
 	followers func() []figseam.InstanceID
 	log       zerolog.Logger
 
-	keepers  []Keeper
+	keepers []Keeper
+	// places is where keepers are, as far as is known.
+	places   map[figseam.InstanceID]figseam.DataCentre
 	current  figseam.InstanceID
 	near     bool
 	inTouch  bool
 	relayAt  time.Time
 	returnAt time.Time
-	next     int
 	keeper   atomic.Pointer[figseam.InstanceID]
 }
 
@@ -55,7 +56,10 @@
 func NewFollower(self Request, call CallFunc, where func() []figseam.InstanceID, has func() (version, digest uint64),
 	take func(Reply), followers func() []figseam.InstanceID, log zerolog.Logger,
 ) *Follower {
-	return &Follower{self: self, call: call, where: where, has: has, take: take, followers: followers, log: log}
+	return &Follower{
+		self: self, call: call, where: where, has: has, take: take, followers: followers, log: log,
+		places: map[figseam.InstanceID]figseam.DataCentre{},
+	}
 }
 
 // Keeper returns the keeping instance that is followed, empty for none.
@@ -81,10 +85,12 @@
 func (f *Follower) step(ctx context.Context) {
 	to := f.choose()
 	if to == "" {
-		f.pause(ctx)
+		if !f.search(ctx) {
+			f.pause(ctx)
+		}
 		return
 	}
-	reply, err := f.ask(ctx, to)
+	reply, err := f.ask(ctx, to, f.request())
 	if err != nil || !reply.Quorum {
 		f.leave(to, err)
 	}
@@ -92,41 +98,77 @@
 		f.pause(ctx)
 		return
 	}
-	f.take(reply)
-	if len(reply.Keepers) > 0 {
-		f.keepers = reply.Keepers
-	}
-	if reply.Quorum {
-		f.settle(to, reply)
-		return
-	}
-	f.pause(ctx)
+	f.learn(to, reply)
 }
 
-// choose returns the keeper to ask: the current one, or now and then a near one,
-// or the next of all.
+// choose returns the keeper to ask: the current one, or now and then a near one.
 func (f *Follower) choose() figseam.InstanceID {
 	if f.self.Keeps {
 		return f.leader()
 	}
-	if f.current != "" && (f.near || time.Now().Before(f.returnAt)) {
+	if f.current == "" || f.near || time.Now().Before(f.returnAt) {
 		return f.current
 	}
 	f.returnAt = time.Now().Add(returnMillis * time.Millisecond)
-	if f.current != "" {
-		for _, k := range f.keepers {
-			if k.DataCentre == f.self.DataCentre {
-				return k.Instance
-			}
+	for _, c := range f.candidates() {
+		if place := f.places[c]; place == "" || place == f.self.DataCentre {
+			return c
 		}
-		return f.current
+	}
+	return f.current
+}
+
+// search asks all known keepers at once and follows the first that is in touch with
+// a majority. What the others tell is taken over as well: in a data centre that is
+// cut off it is the best there is.
+func (f *Follower) search(ctx context.Context) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		from  figseam.InstanceID
+		reply Reply
+		err   error
 	}
 	candidates := f.candidates()
-	if len(candidates) == 0 {
-		return ""
+	if f.self.Keeps {
+		candidates = nil
+	}
+	request := f.request()
+	answers := make(chan answer, len(candidates))
+	for _, to := range candidates {
+		go func() {
+			reply, err := f.ask(ctx, to, request)
+			answers <- answer{from: to, reply: reply, err: err}
+		}()
+	}
+	for range candidates {
+		a := <-answers
+		if a.err != nil {
+			continue
+		}
+		f.learn(a.from, a.reply)
+		if a.reply.Quorum {
+			return true
+		}
+	}
+	return false
+}
+
+// learn takes a reply over and follows its sender if that is in touch.
+func (f *Follower) learn(from figseam.InstanceID, reply Reply) {
+	f.take(reply)
+	if len(reply.Keepers) > 0 {
+		f.keepers = reply.Keepers
+	}
+	for _, k := range reply.Keepers {
+		if k.DataCentre != "" {
+			f.places[k.Instance] = k.DataCentre
+		}
+	}
+	f.places[from] = reply.DataCentre
+	if reply.Quorum {
+		f.settle(from, reply)
 	}
-	f.next++
-	return candidates[f.next%len(candidates)]
 }
 
 // leader returns the instance that a keeper follows, unless it leads itself.
@@ -155,13 +197,18 @@
 	return all
 }
 
-func (f *Follower) ask(ctx context.Context, to figseam.InstanceID) (Reply, error) {
+// request returns what is asked now.
+func (f *Follower) request() Request {
 	r := f.self
 	r.Version, r.Digest = f.has()
 	if now := time.Now(); f.followers != nil && now.After(f.relayAt) {
 		f.relayAt = now.Add(relayMillis * time.Millisecond)
 		r.Followers = f.followers()
 	}
+	return r
+}
+
+func (f *Follower) ask(ctx context.Context, to figseam.InstanceID, r Request) (Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, (holdMillis+callMillis)*time.Millisecond)
 	defer cancel()
 	return f.call(ctx, to, r)
