--- a/connector/connector.go
+++ b/connector/connector.go
@@ -271,14 +271,14 @@
 }
 
 // Close ends the exchange. The connection is kept if the body was read to its
-// end and nothing else came.
+// end; it is used again only if nothing else came.
 func (r *Response) Close() {
 	r.x.done.Do(func() { r.x.finish(r.ended) })
 }
 
 func (x *exchange) finish(ended bool) {
 	stopped := x.stop()
-	if !stopped || !ended || !x.keep || !x.hasWritten() || x.conn.reader.Buffered() > 0 {
+	if !stopped || !ended || !x.keep || !x.hasWritten() {
 		_ = x.conn.Close()
 		return
 	}
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -110,7 +110,7 @@
 		settings.Voters = g.seeds
 		if !settings.FirstStart {
 			// A later start is told of instances that are there then.
-			settings.Voters = slices.DeleteFunc(slices.Clone(g.voters), func(n figseam.InstanceID) bool { return n == name })
+			settings.Voters = slices.Clone(g.voters)
 		}
 	}
 	node, err := replicator.Open(settings, r.disk, link{g, name}, machines, zerolog.Nop())
