--- a/connector/connector.go
+++ b/connector/connector.go
@@ -23,6 +23,9 @@
 	silenceMillis = 1500
 	// idleMillis is how long a connection is kept whose endpoint names no time.
 	idleMillis = 4000
+	// idleShare is the part of the time named by an endpoint for which an idle
+	// connection is used again.
+	idleShare = 0.7
 	// idlePerAddress bounds the idle connections to one endpoint.
 	idlePerAddress = 16
 	// readBytes is the size of a connection's read buffer.
@@ -103,8 +106,9 @@
 	stop    func() bool
 	written chan error
 	keep    bool
-	idleFor time.Duration
-	done    sync.Once
+	// keepAlive is what the endpoint says of idle connections.
+	keepAlive string
+	done      sync.Once
 }
 
 // New returns a connector. A nil dial uses the network.
@@ -242,7 +246,7 @@
 		}
 		framed := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
 		x.keep = framed && !h.Close
-		x.idleFor = idleTime(h.Header.Get("Keep-Alive"))
+		x.keepAlive = h.Header.Get("Keep-Alive")
 		return &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, Framed: framed, body: h.Body, x: x}, nil
 	}
 }
@@ -256,7 +260,7 @@
 			continue
 		}
 		if seconds, err := strconv.ParseFloat(value, 64); err == nil {
-			return time.Duration(seconds * 0.7 * float64(time.Second))
+			return time.Duration(seconds * idleShare * float64(time.Second))
 		}
 	}
 	return idleMillis * time.Millisecond
@@ -283,7 +287,7 @@
 		return
 	}
 	x.conn.used = true
-	x.conn.idleEnd = time.Now().Add(x.idleFor)
+	x.conn.idleEnd = time.Now().Add(idleTime(x.keepAlive))
 	x.c.put(x.request.Address, x.conn)
 }
 
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,11 +19,11 @@
 type source struct {
 	ids   []string
 	fails bool
-	reads int
+	reads atomic.Int32
 }
 
 func (s *source) Read(context.Context) ([]figseam.ListedEndpoint, error) {
-	s.reads++
+	s.reads.Add(1)
 	if s.fails {
 		return nil, errors.New("no answer")
 	}
@@ -64,10 +65,10 @@
 			told.Merge(reader.Reading(digest))
 		}
 		require.Equal(t, []string{"a"}, ids(told))
-		before := far.reads
-		require.LessOrEqual(t, before, 1)
+		before := far.reads.Load()
+		require.LessOrEqual(t, before, int32(1))
 		time.Sleep(3 * time.Second)
-		require.Greater(t, far.reads, before)
+		require.Greater(t, far.reads.Load(), before)
 		require.Equal(t, []string{"a", "b"}, ids(told))
 	})
 }
@@ -93,7 +94,7 @@
 		s := &source{fails: true}
 		l := start(t, s, 100*time.Millisecond)
 		time.Sleep(10 * time.Second)
-		require.LessOrEqual(t, s.reads, 26)
+		require.LessOrEqual(t, s.reads.Load(), int32(26))
 		require.False(t, l.Known())
 	})
 }
--- a/relayer/answering.go
+++ b/relayer/answering.go
@@ -99,16 +99,12 @@
 	t.logEnd(level, code, a.status)
 }
 
-// connectionHeaders concern one connection only.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
+// copyHeader copies what of an answer concerns more than one connection.
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
 	}
-	for _, name := range connectionHeaders {
+	for _, name := range figseam.ConnectionHeaders {
 		to.Del(name)
 	}
 	if _, ok := from["Date"]; !ok {
@@ -130,7 +126,7 @@
 	took := time.Since(t.began)
 	t.Meter.Relayed(semantics, code, status, took)
 	t.Log.WithLevel(level).Str("request", string(t.request.ID)).Str("route", name).Str("service", t.service).
-		Str("semantics", semantics.String()).Str("code", string(code)).Int("status", status).Int64("ms", took.Milliseconds()).Int64("waited_ms", t.waited.Milliseconds()).Int("refusals", t.refusals).Int64("first_event_ms", t.firstEvent.Milliseconds()).
+		Str("semantics", semantics.String()).Str("code", string(code)).Int("status", status).Int64("ms", took.Milliseconds()).Int64("waited_ms", t.waitedMillis).Int("refusals", t.refusals).Int64("first_event_ms", t.firstEventMillis).
 		Uint64("version", t.version).Int64("list_age_ms", t.List.Age().Milliseconds()).
 		Int("input_tokens", t.request.Prompt.InputTokens).Int("output_tokens", t.request.Prompt.OutputTokens).
 		RawJSON("steps", encodeSteps(t.steps)).Msg("request ended")
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -120,10 +120,10 @@
 	wroteHead  bool
 	// retryMillis is when a refused caller may come back; 0 for soon.
 	retryMillis float64
-	// waited is how long the request waited for room, firstEvent when its first
-	// event came.
-	waited     time.Duration
-	firstEvent time.Duration
+	// waitedMillis is how long the request waited for room, firstEventMillis how long
+	// after its arrival its first event came.
+	waitedMillis     int64
+	firstEventMillis int64
 	// refusals is how often engines had no memory to set aside.
 	refusals int
 }
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -130,8 +130,9 @@
 	s.wroteHead = true
 	copyHeader(s.writer.Header(), r.Header)
 	s.writer.WriteHeader(r.Status)
-	s.firstEvent = time.Since(s.began)
-	s.Meter.FirstEvent(s.firstEvent)
+	took := time.Since(s.began)
+	s.firstEventMillis = took.Milliseconds()
+	s.Meter.FirstEvent(took)
 }
 
 // finish ends the answer. Bytes behind the last whole event are a stream that
--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -111,7 +111,7 @@
 	go func() { ended <- v.Run(ctx) }()
 	s.t.Cleanup(func() {
 		stop()
-		<-ended
+		require.NoError(s.t, <-ended)
 	})
 }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -25,7 +25,7 @@
 	silentMillis = 5000
 	// spreadMillis is the width of the lot that is drawn among equals.
 	spreadMillis = 2
-	// recoverMillis is how long an endpoint that failed in a row is left alone,
+	// restMillis is how long an endpoint that failed in a row is left alone,
 	// for each failure, up to restMost failures.
 	restMillis = 300
 	restMost   = 8
--- a/wire.go
+++ b/wire.go
@@ -6,6 +6,12 @@
 	"net/http"
 )
 
+// ConnectionHeaders concern one connection only and are never passed on.
+var ConnectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authorization", "Proxy-Authenticate", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
 // OpaqueRequest is a caller's request that is passed on unchanged. Its headers
 // are those that concern more than one connection; those that the system sets
 // itself are taken out.
