relayer: a claim is given back on every way out; connector, lister, table: dead parts removed

Cause, seen when reading the whole change: a request that held its queue's claim while the last decode engine left ended without giving it back, and after three of them the queue could claim no more until the instance's end. Test: relayer TestClaimsAreGivenBack, failing before. Removed, as nothing used them: Request.Fresh, Response.Reused and Length, List.Find, EndpointList.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -61,20 +61,14 @@
 	// IDHeader takes every answer.
 	IDHeader string
 	ID       string
-	// Fresh asks for a new connection.
-	Fresh bool
 }
 
 // Response is an endpoint's answer. The caller must call Close.
 type Response struct {
 	Status int
 	Header http.Header
-	// Length is the length of the body, or -1 when it is not known beforehand.
-	Length int64
 	// Framed tells that the end of the body can be told from a broken connection.
 	Framed bool
-	// Reused tells that the connection had carried requests before.
-	Reused bool
 	body   io.ReadCloser
 	ended  bool
 	x      *exchange
@@ -95,7 +89,6 @@
 	net.Conn
 	reader  *bufio.Reader
 	idleEnd time.Time
-	used    bool
 }
 
 // exchange is one request on its way.
@@ -135,7 +128,6 @@
 	}
 	cut := x.conn.Conn
 	x.stop = context.AfterFunc(ctx, func() { _ = cut.Close() })
-	reused := x.conn.used
 	x.send()
 	response, err := x.receive()
 	if err != nil {
@@ -145,16 +137,13 @@
 		}
 		return nil, err
 	}
-	response.Reused = reused
 	return response, nil
 }
 
 func (x *exchange) connect(ctx context.Context) error {
-	if !x.request.Fresh {
-		if k := x.c.take(x.request.Address); k != nil {
-			x.conn = k
-			return nil
-		}
+	if k := x.c.take(x.request.Address); k != nil {
+		x.conn = k
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialMillis*time.Millisecond)
 	defer cancel()
@@ -247,7 +236,7 @@
 		framed := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
 		x.keep = framed && !h.Close
 		x.keepAlive = h.Header.Get("Keep-Alive")
-		return &Response{Status: h.StatusCode, Header: h.Header, Length: h.ContentLength, Framed: framed, body: h.Body, x: x}, nil
+		return &Response{Status: h.StatusCode, Header: h.Header, Framed: framed, body: h.Body, x: x}, nil
 	}
 }
 
@@ -286,7 +275,6 @@
 		_ = x.conn.Close()
 		return
 	}
-	x.conn.used = true
 	x.conn.idleEnd = time.Now().Add(idleTime(x.keepAlive))
 	x.c.put(x.request.Address, x.conn)
 }
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -228,14 +228,6 @@
 	return ok
 }
 
-// Find returns the endpoint at an address.
-func (l *List) Find(address string) (figseam.ListedEndpoint, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	e, ok := l.byAddress[address]
-	return e, ok
-}
-
 // Digest returns the digest of the endpoints, 0 before the first reading, and a
 // channel that is closed when it changes.
 func (l *List) Digest() (uint64, <-chan struct{}) {
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -61,6 +61,7 @@
 	if code != "" {
 		return nil, code
 	}
+	defer turn.unclaim()
 	for {
 		s, code := turn.wait(ctx)
 		if s == nil {
@@ -70,7 +71,6 @@
 		held := time.Now()
 		code = t.hold(ctx, s)
 		if code == "" {
-			turn.unclaim()
 			return s, ""
 		}
 		e := s.choice.Candidate.Endpoint
@@ -79,12 +79,10 @@
 		}
 		s.work.End(verdictOfHold(code))
 		if code == explainer.CallerGone || code == explainer.DeadlinePassed {
-			turn.unclaim()
 			return nil, code
 		}
 		if code != explainer.EndpointRefused {
 			if turn.failures++; turn.failures >= connectTries {
-				turn.unclaim()
 				return nil, code
 			}
 			continue
@@ -95,7 +93,6 @@
 			continue
 		}
 		if code := turn.pause(ctx); code != "" {
-			turn.unclaim()
 			t.noteRetry(turn)
 			return nil, code
 		}
--- /dev/null
+++ b/relayer/seating_test.go
@@ -0,0 +1,88 @@
+package relayer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/budgeter"
+	"github.com/figseam/figseam/connector"
+	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/lister"
+	"github.com/figseam/figseam/selector"
+)
+
+// holdWire encodes calls that set memory aside, and nothing else.
+type holdWire struct{ figseam.Wire }
+
+func (holdWire) EncodeHold(int, int64) (target string, body []byte) { return "/hold", []byte("x") }
+
+// full returns a connection to an engine that has no room. asked is called for each
+// time it is asked.
+func full(asked func()) connector.DialFunc {
+	return func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() {
+			defer func() { _ = far.Close() }()
+			r, err := http.ReadRequest(bufio.NewReader(far))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			asked()
+			_, _ = io.WriteString(far, "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		}()
+		return near, nil
+	}
+}
+
+// TestClaimsAreGivenBack has the only decode engine leave while requests claim it:
+// a claim that is kept is lost to the queue for good.
+func TestClaimsAreGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := lister.New(nil, func() time.Duration { return time.Hour }, zerolog.Nop())
+		engine := figseam.ListedEndpoint{ID: "g", Address: "g:1", Service: "s", Stage: figseam.StageForDecode}
+		digest := uint64(0)
+		show := func(leaving bool) {
+			time.Sleep(time.Millisecond)
+			digest++
+			engine.Leaving = leaving
+			list.Merge(lister.Reading{Known: true, Digest: digest, Endpoints: []figseam.ListedEndpoint{engine}})
+		}
+		asked := 0
+		r := New(Settings{
+			Wire: holdWire{}, List: list, Board: selector.NewBoard(), Budget: budgeter.New(budgeter.Settings{WindowMillis: 1000}),
+			Connector: connector.New(full(func() {
+				if asked++; asked%3 == 0 {
+					show(true)
+				}
+			})),
+		})
+		r.SetTable(&figseam.Table{Version: 1, Services: map[string]figseam.HostService{
+			"s": {Name: "s", Engine: &figseam.EngineTraits{MemoryTokens: 1000, HoldMillis: 2000}},
+		}})
+		for range 4 {
+			show(false)
+			u := &task{
+				Relayer: r, service: "s", route: &figseam.HostRoute{TargetMillis: 900}, began: time.Now(), avoid: map[string]bool{},
+				request: figseam.OpaqueRequest{Deadline: figseam.DeadlineAfterMillis(9000), Prompt: figseam.Prompt{InputTokens: 10}},
+			}
+			seat, code := u.takeSeat(t.Context())
+			require.Nil(t, seat)
+			require.Equal(t, explainer.NoEndpoint, code)
+		}
+		for range 3 {
+			require.True(t, r.rooms.queue("s").Claim())
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/table.go
+++ b/table.go
@@ -135,13 +135,6 @@
 	Leaving    bool          `cbor:"8,keyasint,omitempty"`
 }
 
-// EndpointList is one reading of the platform's list. It is immutable.
-type EndpointList struct {
-	Endpoints []ListedEndpoint
-	// ReadAt is when the reading began, without which nothing is known.
-	ReadAt Deadline
-}
-
 // SortEndpoints puts endpoints into the order in which lists are compared.
 func SortEndpoints(endpoints []ListedEndpoint) {
 	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
