relayer, queuer, stager: late requests yield across instances; small gains of stage while calm

Change: a gain of 0.03 is enough while no engine came or went for 8 s and both sides can spare one; 0.8 of decode memory counts as usable; rates and stays are unbiased in the first seconds; instances tell each other for how much memory requests in time wait, claimants included, and late ones leave it to them.

--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -33,9 +33,12 @@
 	Tokens int
 }
 
+// Late reports whether the request can no longer meet its target.
+func (w Waiting) Late(now time.Time) bool { return now.After(w.StartBy) }
+
 // Before reports whether a goes before b at a time.
 func Before(a, b Waiting, now time.Time) bool {
-	aLate, bLate := now.After(a.StartBy), now.After(b.StartBy)
+	aLate, bLate := a.Late(now), b.Late(now)
 	switch {
 	case aLate != bLate:
 		return bLate
@@ -79,24 +82,34 @@
 	// mu guards everything below.
 	mu      sync.Mutex
 	waiting map[*Waiting]struct{}
-	claims  int
+	// claimants are the requests that claim an engine.
+	claimants map[*Waiting]struct{}
 }
 
 // New returns an empty queue. changed returns a channel that is closed when there
 // may be room.
 func New(changed func() <-chan struct{}) *Queue {
-	return &Queue{changed: changed, waiting: map[*Waiting]struct{}{}}
+	return &Queue{changed: changed, waiting: map[*Waiting]struct{}{}, claimants: map[*Waiting]struct{}{}}
 }
 
-// Tokens returns the memory for which requests wait.
-func (q *Queue) Tokens() int {
+// Tokens returns the memory for which requests wait without a claim, and that for
+// which requests wait, with a claim or without, that can still meet their target.
+func (q *Queue) Tokens() (all, timely int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	total := 0
+	now := time.Now()
 	for w := range q.waiting {
-		total += w.Tokens
+		all += w.Tokens
+		if !w.Late(now) {
+			timely += w.Tokens
+		}
+	}
+	for w := range q.claimants {
+		if !w.Late(now) {
+			timely += w.Tokens
+		}
 	}
-	return total
+	return all, timely
 }
 
 // Wait blocks until take succeeds for this request in its turn. It returns false
@@ -130,21 +143,21 @@
 	}
 }
 
-// Claim takes the right to claim an engine that has no room yet; one request of
-// the queue has it at a time. It is to be called from within Wait's take.
-func (q *Queue) Claim() bool {
-	if q.claims >= claimsMost {
+// Claim takes the right to claim an engine that has no room yet; a few requests of
+// the queue have it at a time. It is to be called from within Wait's take.
+func (q *Queue) Claim(w *Waiting) bool {
+	if len(q.claimants) >= claimsMost {
 		return false
 	}
-	q.claims++
+	q.claimants[w] = struct{}{}
 	return true
 }
 
 // Unclaim gives the right back.
-func (q *Queue) Unclaim() {
+func (q *Queue) Unclaim(w *Waiting) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.claims--
+	delete(q.claimants, w)
 }
 
 func (q *Queue) tryTurn(w *Waiting, take func() bool) bool {
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -83,7 +82,9 @@
 				figseam.DeadlineAfterMillis(5000), take(w.name))
 			synctest.Wait()
 		}
-		require.Equal(t, 30, q.Tokens())
+		waiting, timely := q.Tokens()
+		require.Equal(t, 30, waiting)
+		require.Equal(t, 20, timely)
 		for range 3 {
 			places++
 			old := freed
@@ -92,7 +93,8 @@
 			synctest.Wait()
 		}
 		require.Equal(t, []string{"pressing", "relaxed", "late"}, order)
-		require.Zero(t, q.Tokens())
+		waiting, _ = q.Tokens()
+		require.Zero(t, waiting)
 	})
 }
 
@@ -106,17 +108,24 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		require.False(t, q.Wait(ctx, queuer.Waiting{Tokens: 1}, figseam.DeadlineAfterMillis(300), full))
-		require.Zero(t, q.Tokens())
+		waiting, _ := q.Tokens()
+		require.Zero(t, waiting)
 	})
 }
 
 func TestClaimsAreBounded(t *testing.T) {
 	q := queuer.New(func() <-chan struct{} { return nil })
-	var given []bool
+	var given []*queuer.Waiting
 	for range 5 {
-		given = append(given, q.Claim())
+		w := &queuer.Waiting{Tokens: 10, StartBy: time.Now().Add(time.Minute)}
+		if q.Claim(w) {
+			given = append(given, w)
+		}
 	}
-	require.Equal(t, 3, len(slices.DeleteFunc(given, func(b bool) bool { return !b })))
-	q.Unclaim()
-	require.True(t, q.Claim())
+	require.Len(t, given, 3)
+	waiting, timely := q.Tokens()
+	require.Zero(t, waiting, "what claims an engine counts as its use")
+	require.Equal(t, 30, timely)
+	q.Unclaim(given[0])
+	require.True(t, q.Claim(given[0]))
 }
--- a/relayer/demand.go
+++ b/relayer/demand.go
@@ -12,8 +12,10 @@
 const (
 	// rateSeconds is how long what came counts in a rate.
 	rateSeconds = 10
-	// stayWeight is the weight of one request in the mean stay on a decode engine,
-	// firstStayMillis the mean before the first one.
+	// firstRateSeconds is the least time that a rate is taken over.
+	firstRateSeconds = 1
+	// stayWeight is the weight of one request in the mean stay on a decode engine;
+	// the first ones weigh more. firstStayMillis is the mean before the first one.
 	stayWeight      = 0.05
 	firstStayMillis = 2500
 )
@@ -48,8 +50,12 @@
 	defer r.rooms.mu.Unlock()
 	var all []figseam.EndpointUse
 	for service, q := range r.rooms.queues {
-		if n := q.Tokens(); n > 0 {
-			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(QueueName(service)), Tokens: n})
+		waiting, timely := q.Tokens()
+		if waiting > 0 {
+			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(QueueName(service)), Tokens: waiting})
+		}
+		if timely > 0 {
+			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(TimelyName(service)), Tokens: timely})
 		}
 		d := r.rooms.demands[service]
 		now := time.Now()
@@ -65,6 +71,10 @@
 // QueueName names the endpoint that stands for a service's queue.
 func QueueName(service string) string { return "queue/" + service }
 
+// TimelyName names the endpoint that stands for the requests of a service's queue
+// that can still meet their target.
+func TimelyName(service string) string { return "timely/" + service }
+
 // DemandName names the endpoint that stands for what a service's requests ask in a
 // second: WorkMillis of prefill, and memory for Tokens, each held for a second.
 func DemandName(service string) string { return "demand/" + service }
@@ -79,40 +89,54 @@
 type rate struct {
 	value float64
 	at    time.Time
+	// since is when the first came.
+	since time.Time
 }
 
+// perSecond returns the rate. In the first seconds what came is divided by the
+// time since the first, as what came before is not known.
 func (r rate) perSecond(now time.Time) float64 {
+	if r.since.IsZero() {
+		return 0
+	}
+	age := max(firstRateSeconds, now.Sub(r.since).Seconds())
+	return r.faded(now) / (1 - math.Exp(-age/rateSeconds))
+}
+
+func (r rate) faded(now time.Time) float64 {
 	return r.value * math.Exp(-now.Sub(r.at).Seconds()/rateSeconds)
 }
 
 func (r rate) with(amount float64, now time.Time) rate {
-	return rate{value: r.perSecond(now) + amount/rateSeconds, at: now}
+	if r.since.IsZero() {
+		r.since = now
+	}
+	return rate{value: r.faded(now) + amount/rateSeconds, at: now, since: r.since}
 }
 
 // stays is the mean time that requests keep their memory on a decode engine.
 type stays struct {
-	// mu guards millis.
+	// mu guards everything below.
 	mu     sync.Mutex
 	millis float64
+	// noted is how many requests the mean rests on.
+	noted float64
 }
 
 func (s *stays) note(stay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.millis = s.mean() + stayWeight*(float64(stay.Milliseconds())-s.mean())
-}
-
-func (s *stays) mean() float64 {
-	if s.millis == 0 {
-		return firstStayMillis
-	}
-	return s.millis
+	s.noted++
+	s.millis += max(stayWeight, 1/s.noted) * (float64(stay.Milliseconds()) - s.millis)
 }
 
 func (s *stays) get() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mean()
+	if s.noted == 0 {
+		return firstStayMillis
+	}
+	return s.millis
 }
 
 // count notes what a request asks: so much prefill, and memory for tokens during a
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -224,7 +224,7 @@
 		t.sends++
 	}
 	if code == "" {
-		t.stays.note(time.Since(began))
+		t.stays.note(time.Since(seat.taken))
 		t.logEnd(levelOf(s.status), s.code, s.status)
 	}
 	return code
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -14,6 +14,9 @@
 const (
 	// startMillis is what passes until the first event beside the prefill.
 	startMillis = 70
+	// startMarginMillis is how much sooner a request must start for its target to be
+	// safe: how long prefills and first tokens take varies.
+	startMarginMillis = 80
 	// longestWaitMillis is how long after its arrival a request may start: its
 	// caller gives up when the first event does not come.
 	longestWaitMillis = 2500
@@ -37,6 +40,8 @@
 	work   *selector.Work
 	// hold names the memory that the engine set aside; empty for none.
 	hold string
+	// taken is when the memory was promised.
+	taken time.Time
 }
 
 // leave gives the seat back unused.
@@ -71,6 +76,7 @@
 		held := time.Now()
 		code = t.hold(ctx, s)
 		if code == "" {
+			s.taken = time.Now()
 			return s, ""
 		}
 		e := s.choice.Candidate.Endpoint
@@ -158,10 +164,13 @@
 		return taken != nil
 	}
 	if u.claims {
-		if take() {
-			return taken, ""
+		if _, timely := u.queue.Tokens(); !u.yields() && (timely == 0 || !u.waiting.Late(time.Now())) {
+			if take() {
+				return taken, ""
+			}
+			return nil, explainer.NoEndpoint
 		}
-		return nil, explainer.NoEndpoint
+		u.unclaim()
 	}
 	if u.queue.Wait(ctx, u.waiting, u.until, take) {
 		return taken, ""
@@ -172,11 +181,20 @@
 	return nil, explainer.NoRoom
 }
 
+// yields reports whether the request, late already, leaves the room to those of
+// other instances that can still be in time.
+func (u *turn) yields() bool {
+	return u.waiting.Late(time.Now()) && u.Board.OtherTokens(TimelyName(u.service)) > 0
+}
+
 // take places the request where there is room, or claims a place.
 func (u *turn) take() *seat {
+	if u.yields() {
+		return nil
+	}
 	choice, ok := u.choose(figseam.StageForDecode, u.DataCentre, u.need)
 	if !ok {
-		if !u.claims && !u.queue.Claim() {
+		if !u.claims && !u.queue.Claim(&u.waiting) {
 			return nil
 		}
 		u.claims = true
@@ -191,7 +209,7 @@
 func (u *turn) unclaim() {
 	if u.claims {
 		u.claims = false
-		u.queue.Unclaim()
+		u.queue.Unclaim(&u.waiting)
 	}
 }
 
@@ -240,7 +258,12 @@
 // room.
 func (t *task) startMillis() float64 {
 	fixed, reading := t.pace.Millis(t.request.Prompt.InputTokens)
-	return startMillis + fixed + reading
+	// Prompts that the least busy prefill engine has before it are read first.
+	queued := 0.0
+	if c, ok := t.choose(figseam.StageForPrefill, t.DataCentre, 0); ok {
+		queued = c.Candidate.WorkMillis
+	}
+	return startMillis + startMarginMillis + fixed + reading + queued
 }
 
 // expectedTokens returns the memory that the request is expected to need.
@@ -258,7 +281,8 @@
 func (t *task) load(queue *queuer.Queue) (queuer.Load, int) {
 	memory := t.memoryTokens()
 	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForDecode || t.avoid[e.ID] }
-	l := queuer.Load{StayMillis: t.stays.get(), WaitingTokens: queue.Tokens() + t.Board.OtherTokens(QueueName(t.service))}
+	waiting, _ := queue.Tokens()
+	l := queuer.Load{StayMillis: t.stays.get(), WaitingTokens: waiting + t.Board.OtherTokens(QueueName(t.service))}
 	engines := 0
 	for _, c := range t.Board.Candidates(t.List.Service(t.service), skip, 0, memory) {
 		engines++
--- a/relayer/seating_test.go
+++ b/relayer/seating_test.go
@@ -18,6 +18,7 @@
 	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/explainer"
 	"github.com/figseam/figseam/lister"
+	"github.com/figseam/figseam/queuer"
 	"github.com/figseam/figseam/selector"
 )
 
@@ -81,8 +82,51 @@
 			require.Equal(t, explainer.NoEndpoint, code)
 		}
 		for range 3 {
-			require.True(t, r.rooms.queue("s").Claim())
+			require.True(t, r.rooms.queue("s").Claim(&queuer.Waiting{}))
 		}
 		time.Sleep(time.Second)
 	})
 }
+
+// TestLateRequestsYieldToOtherInstances replays a burst on two instances: while the
+// other one has requests that can still meet their target, a late one does not take
+// the room that came free.
+func TestLateRequestsYieldToOtherInstances(t *testing.T) {
+	const service = "s"
+	synctest.Test(t, func(t *testing.T) {
+		list := lister.New(nil, func() time.Duration { return time.Hour }, zerolog.Nop())
+		engine := figseam.ListedEndpoint{ID: "g", Address: "g:1", Service: service, Stage: figseam.StageForDecode}
+		list.Merge(lister.Reading{Known: true, Digest: 1, Endpoints: []figseam.ListedEndpoint{engine}})
+		r := New(Settings{List: list, Board: selector.NewBoard(), Budget: budgeter.New(budgeter.Settings{WindowMillis: 1000})})
+		r.SetTable(&figseam.Table{Version: 1, Services: map[string]figseam.HostService{
+			service: {Name: service, Engine: &figseam.EngineTraits{MemoryTokens: 1000}},
+		}})
+		others := func(timely int) {
+			r.Board.SetOthers([]figseam.EndpointUse{{Endpoint: figseam.HashEndpoint(TimelyName(service)), Tokens: timely}})
+		}
+		ask := func(age time.Duration) (*seat, figseam.Code) {
+			u := &task{
+				Relayer: r, service: service, route: &figseam.HostRoute{TargetMillis: 900}, began: time.Now().Add(-age), avoid: map[string]bool{},
+				request: figseam.OpaqueRequest{Deadline: figseam.DeadlineAfterMillis(9000), Prompt: figseam.Prompt{InputTokens: 10}},
+			}
+			return u.takeSeat(t.Context())
+		}
+		others(500)
+		began := time.Now()
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			others(0)
+		}()
+		s, code := ask(1500 * time.Millisecond)
+		require.Empty(t, code)
+		require.Equal(t, 300*time.Millisecond, time.Since(began))
+		s.work.End(selector.Neutral)
+
+		others(500)
+		began = time.Now()
+		s, code = ask(0)
+		require.Empty(t, code)
+		require.Zero(t, time.Since(began), "one in time waits for nobody")
+		s.work.End(selector.Neutral)
+	})
+}
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/keeper"
 	"github.com/figseam/figseam/platform"
@@ -28,6 +31,9 @@
 	orderMillis = 800
 	// orderPauseMillis is the least time between two orders.
 	orderPauseMillis = 1500
+	// settleMillis is how long no engine must have come or gone before small gains
+	// count.
+	settleMillis = 8000
 )
 
 // stewardship gives orders to engines while this voter leads. One leader has a
@@ -48,6 +54,14 @@
 	// changing are the engines that were ordered lately; the list may still show
 	// their former stage.
 	changing map[string]changing
+	// engines are the engines of each service, and since when they are the same.
+	engines map[string]engineSet
+}
+
+// engineSet is a set of engines, whatever their stages.
+type engineSet struct {
+	digest  uint64
+	settled figseam.Deadline
 }
 
 type changing struct {
@@ -58,11 +72,14 @@
 // newStewardship returns the stewardship of a voter.
 func newStewardship(v *Voter) *stewardship {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}}
+	return &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}, engines: map[string]engineSet{}}
 }
 
 // look changes an engine's stage if that is called for.
 func (s *stewardship) look(ctx context.Context) {
+	for _, service := range s.list.Services() {
+		s.noteEngines(service)
+	}
 	status := s.node.Status()
 	if status.Role != "leader" {
 		s.term = 0
@@ -113,16 +130,35 @@
 
 func (s *stewardship) load(service string, traits *figseam.EngineTraits, uses sharer.Uses) stager.Load {
 	demand := uses.Of(relayer.DemandName(service))
-	l := stager.Load{MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.WorkMillis), DecodeTokens: float64(demand.Tokens)}
+	l := stager.Load{
+		MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.WorkMillis), DecodeTokens: float64(demand.Tokens),
+		Settled: s.engines[service].settled.Passed(),
+	}
 	for _, e := range s.list.Service(service) {
-		if c, ok := s.changing[e.ID]; ok && !c.until.Passed() {
+		c, ok := s.changing[e.ID]
+		away := ok && !c.until.Passed()
+		if away {
 			e.Stage, e.Leaving = c.stage, false
 		}
-		l.Engines = append(l.Engines, stager.Engine{Endpoint: e, Tokens: uses.Of(e.ID).Tokens})
+		l.Engines = append(l.Engines, stager.Engine{Endpoint: e, Tokens: uses.Of(e.ID).Tokens, Away: away})
 	}
 	return l
 }
 
+// noteEngines notes whether an engine of a service has come, gone, started anew or
+// begun to leave.
+func (s *stewardship) noteEngines(service string) {
+	digest := xxhash.New()
+	for _, e := range s.list.Service(service) {
+		c, ok := s.changing[e.ID]
+		leaving := e.Leaving && (!ok || c.until.Passed())
+		_, _ = fmt.Fprintln(digest, e.ID, e.BornMillis, leaving)
+	}
+	if sum := digest.Sum64(); sum != s.engines[service].digest {
+		s.engines[service] = engineSet{digest: sum, settled: figseam.DeadlineAfterMillis(settleMillis)}
+	}
+}
+
 // change lists the engine as leaving, proves that this voter still leads, and
 // gives the order.
 func (s *stewardship) change(ctx context.Context, service string, traits *figseam.EngineTraits, c stager.Change) {
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -5,7 +5,9 @@
 // decode engines than there is, above all bursts in which the decode engines'
 // memory is full while prefill engines idle. One engine at a time changes its
 // stage, and only if afterwards the busier side is still less busy than the busier
-// one is now, by a margin, since the engine is away for seconds.
+// one is now, by a margin, since the engine is away for seconds. A small gain is
+// enough while both sides can spare the engine for so long and no engine has come
+// or gone lately: then the ratio is that of the traffic and not of a fault.
 package stager
 
 import "github.com/figseam/figseam"
@@ -13,10 +15,16 @@
 const (
 	// prefillCeiling is how busy prefill engines may be before prompts queue up.
 	prefillCeiling = 0.8
-	// decodeCeiling is the part of decode engines' memory that can be used.
-	decodeCeiling = 0.9
-	// margin is by how much the busier side must gain.
-	margin = 0.15
+	// decodeCeiling is the part of decode engines' memory that can be used: the last
+	// gap of an engine is too small for a request, and what is set aside waits for
+	// its prefill.
+	decodeCeiling = 0.8
+	// margin is by how much the busier side must gain, and calmMargin the same while
+	// no engine is missed and both sides stay below spareCeiling without the one
+	// that changes.
+	margin       = 0.15
+	calmMargin   = 0.03
+	spareCeiling = 0.85
 	// quiet is the load of the busier side below which nothing changes.
 	quiet = 0.2
 	// fewest is how many engines of a stage are kept.
@@ -27,6 +35,8 @@
 type Engine struct {
 	Endpoint figseam.ListedEndpoint
 	Tokens   int
+	// Away tells that the engine is changing to this stage and serves nobody yet.
+	Away bool
 }
 
 // Load is the load of a service's engines.
@@ -39,6 +49,8 @@
 	// means over the same time, so a burst raises them alike.
 	PrefillMillis float64
 	DecodeTokens  float64
+	// Settled tells that no engine has come or gone lately.
+	Settled bool
 }
 
 // Change is a decision to change an engine's stage, with the loads that led to it.
@@ -53,41 +65,70 @@
 
 // Decide returns the change to make, if any.
 func Decide(l Load) (Change, bool) {
-	var prefill, decode []Engine
-	for _, e := range l.Engines {
-		switch {
-		case e.Endpoint.Leaving:
-			// Neither counts nor changes.
-		case e.Endpoint.Stage == figseam.StageForPrefill:
-			prefill = append(prefill, e)
-		case e.Endpoint.Stage == figseam.StageForDecode:
-			decode = append(decode, e)
-		}
-	}
+	prefill := l.side(figseam.StageForPrefill)
+	decode := l.side(figseam.StageForDecode)
 	if len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
 		return Change{}, false
 	}
-	prefillLoad := func(n int) float64 { return l.PrefillMillis / (1000 * prefillCeiling * float64(n)) }
-	decodeLoad := func(n int) float64 { return l.DecodeTokens / (decodeCeiling * float64(l.MemoryTokens) * float64(n)) }
 	p, d := len(prefill), len(decode)
-	now := max(prefillLoad(p), decodeLoad(d))
-	if now < quiet {
+	c := Change{PrefillLoad: l.prefillLoad(p), DecodeLoad: l.decodeLoad(d)}
+	if max(c.PrefillLoad, c.DecodeLoad) < quiet {
 		return Change{}, false
 	}
-	c := Change{PrefillLoad: prefillLoad(p), DecodeLoad: decodeLoad(d)}
-	from, to, left := prefill, figseam.StageForDecode, p-1
-	c.PrefillAfter, c.DecodeAfter = prefillLoad(p-1), decodeLoad(d+1)
+	from, left := prefill, p-1
+	c.Stage = figseam.StageForDecode
+	c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p-1), l.decodeLoad(d+1)
+	meanwhile := max(l.prefillLoad(present(prefill)-1), l.decodeLoad(present(decode)))
 	if c.PrefillLoad > c.DecodeLoad {
-		from, to, left = decode, figseam.StageForPrefill, d-1
-		c.PrefillAfter, c.DecodeAfter = prefillLoad(p+1), decodeLoad(d-1)
+		from, left = decode, d-1
+		c.Stage = figseam.StageForPrefill
+		c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p+1), l.decodeLoad(d-1)
+		meanwhile = max(l.prefillLoad(present(prefill)), l.decodeLoad(present(decode)-1))
 	}
-	if left < fewest || max(c.PrefillAfter, c.DecodeAfter) > now-margin {
+	needed := margin
+	if l.Settled && meanwhile < spareCeiling {
+		needed = calmMargin
+	}
+	gain := max(c.PrefillLoad, c.DecodeLoad) - max(c.PrefillAfter, c.DecodeAfter)
+	if left < fewest || gain < needed {
 		return Change{}, false
 	}
-	c.Endpoint, c.Stage = leastUsed(from), to
+	c.Endpoint = leastUsed(from)
 	return c, true
 }
 
+// side returns the engines of a stage that stay.
+func (l Load) side(stage figseam.EndpointStage) []Engine {
+	var engines []Engine
+	for _, e := range l.Engines {
+		if e.Endpoint.Stage == stage && !e.Endpoint.Leaving {
+			engines = append(engines, e)
+		}
+	}
+	return engines
+}
+
+// present returns how many of the engines serve now.
+func present(engines []Engine) int {
+	n := 0
+	for _, e := range engines {
+		if !e.Away {
+			n++
+		}
+	}
+	return n
+}
+
+// prefillLoad returns how near n prefill engines are to their limit, 1 at it.
+func (l Load) prefillLoad(n int) float64 {
+	return l.PrefillMillis / (1000 * prefillCeiling * float64(max(0, n)))
+}
+
+// decodeLoad returns the same for n decode engines.
+func (l Load) decodeLoad(n int) float64 {
+	return l.DecodeTokens / (decodeCeiling * float64(l.MemoryTokens) * float64(max(0, n)))
+}
+
 // leastUsed returns the least used engine of the data centre that has most.
 func leastUsed(engines []Engine) figseam.ListedEndpoint {
 	count := map[figseam.DataCentre]int{}
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -25,6 +25,20 @@
 	return l
 }
 
+// settled returns the load of engines of which none came or went lately.
+func settled(l stager.Load) stager.Load {
+	l.Settled = true
+	return l
+}
+
+// away returns the load while the last n decode engines still change their stage.
+func away(l stager.Load, n int) stager.Load {
+	for i := range n {
+		l.Engines[len(l.Engines)-1-i].Away = true
+	}
+	return l
+}
+
 func TestDecide(t *testing.T) {
 	tests := []struct {
 		name string
@@ -39,6 +53,11 @@
 		{"a few decode engines stay", load(10, 2, 9000, 100), figseam.StageNone},
 		{"no engines of a stage", load(0, 5, 500, 4000), figseam.StageNone},
 		{"a burst that raises both alike", load(4, 8, 3200, 7200), figseam.StageNone},
+		{"a small gain", load(5, 7, 1300, 3900), figseam.StageNone},
+		{"a small gain while nothing else changes", settled(load(5, 7, 1300, 3900)), figseam.StageForDecode},
+		{"the same for prompts", settled(load(3, 9, 1900, 3000)), figseam.StageForPrefill},
+		{"a small gain while no engine can be spared", settled(load(5, 7, 2900, 6000)), figseam.StageNone},
+		{"a small gain while one is away already", away(settled(load(3, 9, 1300, 4500)), 8), figseam.StageNone},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -53,7 +72,7 @@
 func TestChangesSettle(t *testing.T) {
 	for prefillMillis := 200.0; prefillMillis < 8000; prefillMillis += 350 {
 		for decodeTokens := 500.0; decodeTokens < 10_000; decodeTokens += 450 {
-			l := load(5, 7, prefillMillis, decodeTokens)
+			l := settled(load(5, 7, prefillMillis, decodeTokens))
 			changes := 0
 			for c, ok := stager.Decide(l); ok; c, ok = stager.Decide(l) {
 				for i := range l.Engines {
