relayer, stager, queuer: bursts beside crashed prefill engines

Change: a decode engine reads a prompt itself when it is done sooner than the best prefill engine; no change of stage within 8 s of engines coming or going (5% of them may), and only if the side that loses one can spare it; a request in time is expected to wait for those in time only; the first list is awaited.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -201,6 +201,23 @@
 	return l.byService != nil
 }
 
+// AwaitFirst returns when there is a first reading, or ctx ends.
+func (l *List) AwaitFirst(ctx context.Context) {
+	for {
+		l.mu.Lock()
+		known, changed := l.byService != nil, l.changed
+		l.mu.Unlock()
+		if known {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Service returns the endpoints of a service. They must not be changed.
 func (l *List) Service(name string) []figseam.ListedEndpoint {
 	l.mu.Lock()
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -52,23 +52,31 @@
 
 // Load is what is believed of the engines of a service.
 type Load struct {
-	// MemoryTokens is the memory of all engines, UsedTokens what is taken of it,
-	// and WaitingTokens what other requests wait for, on all instances.
-	MemoryTokens  int
-	UsedTokens    int
+	// MemoryTokens is the memory of all engines, UsedTokens what is taken of it.
+	MemoryTokens int
+	UsedTokens   int
+	// WaitingTokens is what other requests wait for, on all instances, and
+	// TimelyTokens the part of it for those that can still meet their target.
 	WaitingTokens int
+	TimelyTokens  int
 	// StayMillis is how long a request keeps its memory.
 	StayMillis float64
 }
 
 // ExpectedWaitMillis returns when there will be room for a request: memory comes
-// free evenly, as fast as it is taken in a stay.
-func ExpectedWaitMillis(l Load, need int) float64 {
-	missing := l.WaitingTokens + need - (l.MemoryTokens - l.UsedTokens)
-	if missing <= 0 {
-		return 0
+// free evenly, as fast as it is taken in a stay. A request that gets room before it
+// is late goes before those that are.
+func ExpectedWaitMillis(l Load, need int, now, startBy time.Time) float64 {
+	if wait := l.waitMillis(l.TimelyTokens + need); now.Add(time.Duration(wait * float64(time.Millisecond))).Before(startBy) {
+		return wait
 	}
-	if l.MemoryTokens <= 0 || l.StayMillis <= 0 {
+	return l.waitMillis(l.WaitingTokens + need)
+}
+
+// waitMillis returns when so much memory will have come free.
+func (l Load) waitMillis(tokens int) float64 {
+	missing := tokens - (l.MemoryTokens - l.UsedTokens)
+	if missing <= 0 || l.MemoryTokens <= 0 || l.StayMillis <= 0 {
 		return 0
 	}
 	return float64(missing) * l.StayMillis / float64(l.MemoryTokens)
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -127,6 +127,9 @@
 		if !ok {
 			return nil, explainer.NoEndpoint
 		}
+		if t.ownPrefill(seat, choice) {
+			return nil, ""
+		}
 		if t.sends > 0 && !t.mayRepeat() {
 			return nil, explainer.RetriesSpent
 		}
@@ -151,6 +154,18 @@
 	}
 }
 
+// ownPrefill has the decode engine of the seat read the prompt if it is done sooner
+// than the best prefill engine.
+func (t *task) ownPrefill(s *seat, c selector.Choice) bool {
+	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
+	if !selector.ReadsItself(c.Candidate.WorkMillis, reading, s.choice.Candidate.WorkMillis) {
+		return false
+	}
+	c.Reason = selector.ReasonOwnPrefill
+	t.note(s.choice.Candidate.Endpoint, "prefill", c, "", time.Now())
+	return true
+}
+
 func (t *task) prefillOnce(ctx context.Context, choice selector.Choice) (p *prefilled, code figseam.Code) {
 	e := choice.Candidate.Endpoint
 	fixed, reading := t.pace.Millis(t.request.Prompt.InputTokens)
@@ -213,6 +228,11 @@
 	e := seat.choice.Candidate.Endpoint
 	began := time.Now()
 	s := &stream{task: t, endpoint: e, work: seat.work}
+	if source == nil {
+		_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
+		s.reading = t.Board.Begin(e, selector.OwnReadingMillis(reading), 0)
+		defer s.hasRead()
+	}
 	code := s.run(ctx, figseam.EndpointCall{
 		Request: t.request, Endpoint: e, Stage: figseam.StageForDecode, Source: source.source(), Hold: seat.hold, Deadline: t.request.Deadline,
 	})
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -26,7 +26,8 @@
 	bodyMillis = 5000
 	// defaultBodyBytes bounds a body where the table names no limit.
 	defaultBodyBytes = 4 << 20
-	// firstTableMillis is how long a request waits for the instance's first table.
+	// firstTableMillis is how long a request waits for the instance's first table and
+	// its first list of endpoints.
 	firstTableMillis = 800
 	// writeSlackMillis is how long behind its deadline an answer may still be
 	// written.
@@ -199,21 +200,21 @@
 }
 
 // awaitIndex returns the index in force. An instance that has just started waits a
-// little for its first table: the caller would only come back to another instance
-// that has started at the same time.
+// little for its first table and list: the caller would only come back to another
+// instance that has started at the same time.
 func (t *task) awaitIndex(ctx context.Context) *matcher.Index {
-	if x := t.index.Load(); x != nil {
+	if x := t.index.Load(); x != nil && t.List.Known() {
 		return x
 	}
 	wait := int64(firstTableMillis)
 	if !t.request.Deadline.IsZero() {
 		wait = min(wait, t.request.Deadline.RemainingMillis()/3)
 	}
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(wait)*time.Millisecond)
+	defer cancel()
 	select {
 	case <-t.hasTable:
-	case <-timer.C:
+		t.List.AwaitFirst(ctx)
 	case <-ctx.Done():
 	}
 	return t.index.Load()
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -108,7 +108,8 @@
 // noteRetry notes when a refused caller may come back.
 func (t *task) noteRetry(u *turn) {
 	load, _ := t.load(u.queue)
-	t.retryMillis = max(0, queuer.ExpectedWaitMillis(load, u.need)-returnSlackMillis)
+	wait := queuer.ExpectedWaitMillis(load, u.need, time.Now(), u.waiting.StartBy)
+	t.retryMillis = max(0, wait-returnSlackMillis)
 }
 
 // verdictOfHold says what a call to set memory aside tells of the engine: one that
@@ -145,12 +146,12 @@
 	if t.wroteHead {
 		from = now
 	}
-	wait := queuer.ExpectedWaitMillis(load, u.need)
+	startBy := from.Add(time.Duration(float64(t.route.TargetMillis)-t.startMillis()) * time.Millisecond)
+	wait := queuer.ExpectedWaitMillis(load, u.need, now, startBy)
 	if float64(now.Sub(from).Milliseconds())+wait > longestWaitMillis {
 		t.retryMillis = max(0, wait-returnSlackMillis)
 		return nil, explainer.NoRoom
 	}
-	startBy := from.Add(time.Duration(float64(t.route.TargetMillis)-t.startMillis()) * time.Millisecond)
 	u.waiting = queuer.Waiting{Priority: t.route.Priority, StartBy: startBy, Arrived: t.began, Tokens: u.need}
 	u.until = figseam.DeadlineAt(from.Add(longestWaitMillis * time.Millisecond)).WithEarlier(t.request.Deadline)
 	return u, ""
@@ -281,8 +282,12 @@
 func (t *task) load(queue *queuer.Queue) (queuer.Load, int) {
 	memory := t.memoryTokens()
 	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForDecode || t.avoid[e.ID] }
-	waiting, _ := queue.Tokens()
-	l := queuer.Load{StayMillis: t.stays.get(), WaitingTokens: waiting + t.Board.OtherTokens(QueueName(t.service))}
+	waiting, timely := queue.Tokens()
+	others, othersTimely := t.Board.OtherTokens(QueueName(t.service)), t.Board.OtherTokens(TimelyName(t.service))
+	l := queuer.Load{
+		StayMillis: t.stays.get(), WaitingTokens: waiting + others,
+		TimelyTokens: min(waiting, timely) + min(others, othersTimely),
+	}
 	engines := 0
 	for _, c := range t.Board.Candidates(t.List.Service(t.service), skip, 0, memory) {
 		engines++
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -26,8 +26,10 @@
 	*task
 	endpoint figseam.ListedEndpoint
 	work     *selector.Work
-	status   int
-	code     figseam.Code
+	// reading is the prefill that the engine makes itself, nil when it is over.
+	reading *selector.Work
+	status  int
+	code    figseam.Code
 }
 
 // run sends the request and passes events on until the stream is complete. The
@@ -97,6 +99,7 @@
 		}
 		again()
 		s.work.Answered()
+		s.hasRead()
 		if !s.pass(r, event) {
 			return explainer.CallerGone
 		}
@@ -106,6 +109,14 @@
 	}
 }
 
+// hasRead notes that the engine has read the prompt.
+func (s *stream) hasRead() {
+	if s.reading != nil {
+		s.reading.End(selector.Neutral)
+		s.reading = nil
+	}
+}
+
 // pass writes one event unless the caller has it. It reports false when the
 // caller is gone.
 func (s *stream) pass(r *connector.Response, event []byte) bool {
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/keeper"
 	"github.com/figseam/figseam/platform"
@@ -31,9 +28,10 @@
 	orderMillis = 800
 	// orderPauseMillis is the least time between two orders.
 	orderPauseMillis = 1500
-	// settleMillis is how long no engine must have come or gone before small gains
-	// count.
+	// settleMillis is how long an engine that came or went counts, and settleShare
+	// the share of a service's engines that may have come or gone in that time.
 	settleMillis = 8000
+	settleShare  = 0.05
 )
 
 // stewardship gives orders to engines while this voter leads. One leader has a
@@ -54,14 +52,21 @@
 	// changing are the engines that were ordered lately; the list may still show
 	// their former stage.
 	changing map[string]changing
-	// engines are the engines of each service, and since when they are the same.
-	engines map[string]engineSet
+	// turnovers are the engines of each service that came and went.
+	turnovers map[string]turnover
+}
+
+// turnover is which engines a service had, and until when each that came or went
+// counts.
+type turnover struct {
+	engines map[string]presence
+	counted []figseam.Deadline
 }
 
-// engineSet is a set of engines, whatever their stages.
-type engineSet struct {
-	digest  uint64
-	settled figseam.Deadline
+// presence is one run of an engine, and whether it leaves.
+type presence struct {
+	bornMillis int64
+	leaving    bool
 }
 
 type changing struct {
@@ -72,7 +77,7 @@
 // newStewardship returns the stewardship of a voter.
 func newStewardship(v *Voter) *stewardship {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}, engines: map[string]engineSet{}}
+	return &stewardship{Voter: v, steward: platform.NewSteward(client), proof: keeper.New(v.node), changing: map[string]changing{}, turnovers: map[string]turnover{}}
 }
 
 // look changes an engine's stage if that is called for.
@@ -132,7 +137,7 @@
 	demand := uses.Of(relayer.DemandName(service))
 	l := stager.Load{
 		MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.WorkMillis), DecodeTokens: float64(demand.Tokens),
-		Settled: s.engines[service].settled.Passed(),
+		Settled: s.settled(service),
 	}
 	for _, e := range s.list.Service(service) {
 		c, ok := s.changing[e.ID]
@@ -145,18 +150,37 @@
 	return l
 }
 
-// noteEngines notes whether an engine of a service has come, gone, started anew or
-// begun to leave.
+// noteEngines notes which engines of a service have come, gone, started anew or
+// begun to leave. Those that change their stage have not.
 func (s *stewardship) noteEngines(service string) {
-	digest := xxhash.New()
+	known := s.turnovers[service]
+	next := turnover{engines: map[string]presence{}}
+	for _, until := range known.counted {
+		if !until.Passed() {
+			next.counted = append(next.counted, until)
+		}
+	}
+	counts := figseam.DeadlineAfterMillis(settleMillis)
 	for _, e := range s.list.Service(service) {
 		c, ok := s.changing[e.ID]
-		leaving := e.Leaving && (!ok || c.until.Passed())
-		_, _ = fmt.Fprintln(digest, e.ID, e.BornMillis, leaving)
+		now := presence{bornMillis: e.BornMillis, leaving: e.Leaving && (!ok || c.until.Passed())}
+		next.engines[e.ID] = now
+		if was, ok := known.engines[e.ID]; !ok || was != now {
+			next.counted = append(next.counted, counts)
+		}
 	}
-	if sum := digest.Sum64(); sum != s.engines[service].digest {
-		s.engines[service] = engineSet{digest: sum, settled: figseam.DeadlineAfterMillis(settleMillis)}
+	for id := range known.engines {
+		if _, ok := next.engines[id]; !ok {
+			next.counted = append(next.counted, counts)
+		}
 	}
+	s.turnovers[service] = next
+}
+
+// settled reports whether hardly any engine has come or gone lately.
+func (s *stewardship) settled(service string) bool {
+	t := s.turnovers[service]
+	return float64(len(t.counted)) <= settleShare*float64(len(t.engines))
 }
 
 // change lists the engine as leaving, proves that this voter still leads, and
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -141,3 +141,22 @@
 	require.InDelta(t, 80, fixed, 1)
 	require.InDelta(t, 100, reading, 1)
 }
+
+func TestReadsItself(t *testing.T) {
+	tests := []struct {
+		name                  string
+		queued, reading, busy float64
+		want                  bool
+	}{
+		{"idle prefill engine", 0, 90, 0, false},
+		{"some prompts before it", 270, 90, 0, false},
+		{"a crashed side's queue", 900, 90, 0, true},
+		{"the decode engine reads others already", 900, 90, 720, false},
+		{"a long prompt behind short ones", 400, 200, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			require.Equal(t, test.want, selector.ReadsItself(test.queued, test.reading, test.busy))
+		})
+	}
+}
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -5,9 +5,9 @@
 // decode engines than there is, above all bursts in which the decode engines'
 // memory is full while prefill engines idle. One engine at a time changes its
 // stage, and only if afterwards the busier side is still less busy than the busier
-// one is now, by a margin, since the engine is away for seconds. A small gain is
-// enough while both sides can spare the engine for so long and no engine has come
-// or gone lately: then the ratio is that of the traffic and not of a fault.
+// one is now, by a margin, and if the side that loses the engine can spare it: the
+// engine is away for seconds. Engines that crash come back, mostly sooner than one
+// that changes its stage, so nothing changes soon after engines came or went.
 package stager
 
 import "github.com/figseam/figseam"
@@ -19,11 +19,10 @@
 	// gap of an engine is too small for a request, and what is set aside waits for
 	// its prefill.
 	decodeCeiling = 0.8
-	// margin is by how much the busier side must gain, and calmMargin the same while
-	// no engine is missed and both sides stay below spareCeiling without the one
-	// that changes.
-	margin       = 0.15
-	calmMargin   = 0.03
+	// margin is by how much the busier side must gain.
+	margin = 0.03
+	// spareCeiling is how busy the side that loses an engine may become, by what the
+	// other side lets through.
 	spareCeiling = 0.85
 	// quiet is the load of the busier side below which nothing changes.
 	quiet = 0.2
@@ -49,7 +48,7 @@
 	// means over the same time, so a burst raises them alike.
 	PrefillMillis float64
 	DecodeTokens  float64
-	// Settled tells that no engine has come or gone lately.
+	// Settled tells that hardly any engine has come or gone lately.
 	Settled bool
 }
 
@@ -67,7 +66,7 @@
 func Decide(l Load) (Change, bool) {
 	prefill := l.side(figseam.StageForPrefill)
 	decode := l.side(figseam.StageForDecode)
-	if len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
+	if !l.Settled || len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
 		return Change{}, false
 	}
 	p, d := len(prefill), len(decode)
@@ -78,19 +77,15 @@
 	from, left := prefill, p-1
 	c.Stage = figseam.StageForDecode
 	c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p-1), l.decodeLoad(d+1)
-	meanwhile := max(l.prefillLoad(present(prefill)-1), l.decodeLoad(present(decode)))
+	meanwhile := l.prefillLoad(present(prefill)-1) / max(1, c.DecodeLoad)
 	if c.PrefillLoad > c.DecodeLoad {
 		from, left = decode, d-1
 		c.Stage = figseam.StageForPrefill
 		c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p+1), l.decodeLoad(d-1)
-		meanwhile = max(l.prefillLoad(present(prefill)), l.decodeLoad(present(decode)-1))
-	}
-	needed := margin
-	if l.Settled && meanwhile < spareCeiling {
-		needed = calmMargin
+		meanwhile = l.decodeLoad(present(decode)-1) / max(1, c.PrefillLoad)
 	}
 	gain := max(c.PrefillLoad, c.DecodeLoad) - max(c.PrefillAfter, c.DecodeAfter)
-	if left < fewest || gain < needed {
+	if left < fewest || gain < margin || meanwhile > spareCeiling {
 		return Change{}, false
 	}
 	c.Endpoint = leastUsed(from)
