stager, selector, relayer: unbiased estimates of pace and stay; a lost side is replaced sooner

TestPaceIsLearned learns from 204 calls in place of 17, to the same 1 ms: the prior fades with the calls.

--- a/relayer/demand.go
+++ b/relayer/demand.go
@@ -14,10 +14,12 @@
 	rateSeconds = 10
 	// firstRateSeconds is the least time that a rate is taken over.
 	firstRateSeconds = 1
-	// stayWeight is the weight of one request in the mean stay on a decode engine;
-	// the first ones weigh more. firstStayMillis is the mean before the first one.
-	stayWeight      = 0.05
-	firstStayMillis = 2500
+	// stayWeight is the weight of one request in the mean stay on a decode engine.
+	stayWeight = 0.05
+	// firstStayMillis is the mean before the first request has ended, and counts as
+	// much as firstStays of them: those that end first are the short ones.
+	firstStayMillis = 3500
+	firstStays      = 5
 )
 
 // rooms are the queues for the decode engines of each service.
@@ -126,13 +128,18 @@
 func (s *stays) note(stay time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	mean := s.mean()
 	s.noted++
-	s.millis += max(stayWeight, 1/s.noted) * (float64(stay.Milliseconds()) - s.millis)
+	s.millis = mean + max(stayWeight, 1/(firstStays+s.noted))*(float64(stay.Milliseconds())-mean)
 }
 
 func (s *stays) get() float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.mean()
+}
+
+func (s *stays) mean() float64 {
 	if s.noted == 0 {
 		return firstStayMillis
 	}
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -28,10 +28,12 @@
 	orderMillis = 800
 	// orderPauseMillis is the least time between two orders.
 	orderPauseMillis = 1500
-	// settleMillis is how long an engine that came or went counts, and settleShare
-	// the share of a service's engines that may have come or gone in that time.
-	settleMillis = 8000
-	settleShare  = 0.05
+	// restlessMillis and settleMillis are how long a service's engines are restless
+	// and settling after some came or went. turnoverShare is the share of them that
+	// may come or go meanwhile.
+	restlessMillis = 2500
+	settleMillis   = 8000
+	turnoverShare  = 0.05
 )
 
 // stewardship gives orders to engines while this voter leads. One leader has a
@@ -56,11 +58,21 @@
 	turnovers map[string]turnover
 }
 
-// turnover is which engines a service had, and until when each that came or went
-// counts.
+// turnover is which engines a service had, and when engines of it came or went.
 type turnover struct {
 	engines map[string]presence
-	counted []figseam.Deadline
+	changes []time.Time
+}
+
+// since returns how many engines came or went in so many milliseconds.
+func (t turnover) since(millis int64, now time.Time) int {
+	n := 0
+	for _, at := range t.changes {
+		if now.Sub(at) < time.Duration(millis)*time.Millisecond {
+			n++
+		}
+	}
+	return n
 }
 
 // presence is one run of an engine, and whether it leaves.
@@ -137,7 +149,7 @@
 	demand := uses.Of(relayer.DemandName(service))
 	l := stager.Load{
 		MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.WorkMillis), DecodeTokens: float64(demand.Tokens),
-		Settled: s.settled(service),
+		Turnover: s.turnover(service),
 	}
 	for _, e := range s.list.Service(service) {
 		c, ok := s.changing[e.ID]
@@ -153,34 +165,40 @@
 // noteEngines notes which engines of a service have come, gone, started anew or
 // begun to leave. Those that change their stage have not.
 func (s *stewardship) noteEngines(service string) {
-	known := s.turnovers[service]
+	known, now := s.turnovers[service], time.Now()
 	next := turnover{engines: map[string]presence{}}
-	for _, until := range known.counted {
-		if !until.Passed() {
-			next.counted = append(next.counted, until)
+	for _, at := range known.changes {
+		if now.Sub(at) < settleMillis*time.Millisecond {
+			next.changes = append(next.changes, at)
 		}
 	}
-	counts := figseam.DeadlineAfterMillis(settleMillis)
 	for _, e := range s.list.Service(service) {
 		c, ok := s.changing[e.ID]
-		now := presence{bornMillis: e.BornMillis, leaving: e.Leaving && (!ok || c.until.Passed())}
-		next.engines[e.ID] = now
-		if was, ok := known.engines[e.ID]; !ok || was != now {
-			next.counted = append(next.counted, counts)
+		seen := presence{bornMillis: e.BornMillis, leaving: e.Leaving && (!ok || c.until.Passed())}
+		next.engines[e.ID] = seen
+		if was, ok := known.engines[e.ID]; !ok || was != seen {
+			next.changes = append(next.changes, now)
 		}
 	}
 	for id := range known.engines {
 		if _, ok := next.engines[id]; !ok {
-			next.counted = append(next.counted, counts)
+			next.changes = append(next.changes, now)
 		}
 	}
 	s.turnovers[service] = next
 }
 
-// settled reports whether hardly any engine has come or gone lately.
-func (s *stewardship) settled(service string) bool {
-	t := s.turnovers[service]
-	return float64(len(t.counted)) <= settleShare*float64(len(t.engines))
+// turnover tells how long ago engines of a service came or went.
+func (s *stewardship) turnover(service string) stager.Turnover {
+	t, now := s.turnovers[service], time.Now()
+	few := turnoverShare * float64(len(t.engines))
+	switch {
+	case float64(t.since(restlessMillis, now)) > few:
+		return stager.Restless
+	case float64(t.since(settleMillis, now)) > few:
+		return stager.Settling
+	}
+	return stager.Settled
 }
 
 // change lists the engine as leaving, proves that this voter still leads, and
--- a/selector/pace.go
+++ b/selector/pace.go
@@ -5,17 +5,23 @@
 const (
 	// paceMemory is the weight of what was learned when one more call is.
 	paceMemory = 0.98
-	// paceCalls is how many calls a pace must rest on.
-	paceCalls = 8
-	// firstMillisPerToken and firstMillis are taken before.
-	firstMillisPerToken = 1.0 / 32
+	// firstMillisPerToken and firstMillis are taken before the first call, and count as
+	// much as firstCalls of them.
+	firstMillisPerToken = 1.0 / 48
 	firstMillis         = 100
+	firstCalls          = 4
+	// firstShortTokens and firstLongTokens are the prompts of these calls.
+	firstShortTokens = 1000
+	firstLongTokens  = 8000
+	// slowCallWeight is the weight of a call that took longer than expected: its engine
+	// read prompts of other instances as well, of which nothing was known yet.
+	slowCallWeight = 0.2
 )
 
 // Pace learns how long engines read a prompt: a fixed time, in which others may
 // read as well, and a time for each token, in which they may not. It is a line
-// through the calls that found their engine idle, the newest counting most. It is
-// safe for concurrent use.
+// under most of the calls that found their engine idle, the newest counting most. It
+// is safe for concurrent use.
 type Pace struct {
 	// mu guards everything below: the weighted sums of a linear regression.
 	mu                sync.Mutex
@@ -27,25 +33,48 @@
 func (p *Pace) Learn(tokens int, millis float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	x := float64(tokens)
-	p.n = paceMemory*p.n + 1
-	p.x = paceMemory*p.x + x
-	p.y = paceMemory*p.y + millis
-	p.squares = paceMemory*p.squares + x*x
-	p.xy = paceMemory*p.xy + x*millis
+	x, weight := float64(tokens), 1.0
+	if base, slope := p.line(); millis > base+slope*x {
+		weight = slowCallWeight
+	}
+	p.n *= paceMemory
+	p.x *= paceMemory
+	p.y *= paceMemory
+	p.squares *= paceMemory
+	p.xy *= paceMemory
+	p.add(x, millis, weight)
 }
 
-// Millis returns the fixed time and the time for so many tokens.
-func (p *Pace) Millis(tokens int) (fixed, reading float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	slope, base := firstMillisPerToken, float64(firstMillis)
-	if spread := p.n*p.squares - p.x*p.x; p.n >= paceCalls && spread > 0 {
+func (p *Pace) add(x, y, weight float64) {
+	p.n += weight
+	p.x += weight * x
+	p.y += weight * y
+	p.squares += weight * x * x
+	p.xy += weight * x * y
+}
+
+// line returns the fixed time and the time for a token.
+func (p *Pace) line() (base, slope float64) {
+	if p.n == 0 {
+		for _, x := range []float64{firstShortTokens, firstLongTokens} {
+			p.add(x, firstMillis+firstMillisPerToken*x, firstCalls/2)
+		}
+	}
+	base, slope = firstMillis, firstMillisPerToken
+	if spread := p.n*p.squares - p.x*p.x; spread > 0 {
 		learned := (p.n*p.xy - p.x*p.y) / spread
 		if learned > firstMillisPerToken/8 && learned < firstMillisPerToken*8 {
 			slope = learned
 			base = max(0, (p.y-slope*p.x)/p.n)
 		}
 	}
+	return base, slope
+}
+
+// Millis returns the fixed time and the time for so many tokens.
+func (p *Pace) Millis(tokens int) (fixed, reading float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	base, slope := p.line()
 	return base, slope * float64(tokens)
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -134,14 +134,33 @@
 
 func TestPaceIsLearned(t *testing.T) {
 	var p selector.Pace
-	for tokens := 1000; tokens <= 9000; tokens += 500 {
-		p.Learn(tokens, 80+float64(tokens)/50)
+	for range 12 {
+		for tokens := 1000; tokens <= 9000; tokens += 500 {
+			p.Learn(tokens, 80+float64(tokens)/50)
+		}
 	}
 	fixed, reading := p.Millis(5000)
 	require.InDelta(t, 80, fixed, 1)
 	require.InDelta(t, 100, reading, 1)
 }
 
+// TestPaceBesideOthers has every third call find prompts of other instances before
+// it: a prefill that seems slower than it is would have engines change their stage.
+func TestPaceBesideOthers(t *testing.T) {
+	var p selector.Pace
+	for i := range 200 {
+		tokens := 1000 + i*1777%8000
+		millis := 80 + float64(tokens)/50
+		if i%3 == 0 {
+			millis += 150
+		}
+		p.Learn(tokens, millis)
+	}
+	fixed, reading := p.Millis(5000)
+	require.InDelta(t, 100, reading, 25)
+	require.InDelta(t, 180, fixed+reading, 40)
+}
+
 func TestReadsItself(t *testing.T) {
 	tests := []struct {
 		name                  string
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -14,13 +14,15 @@
 
 const (
 	// prefillCeiling is how busy prefill engines may be before prompts queue up.
-	prefillCeiling = 0.8
+	prefillCeiling = 0.7
 	// decodeCeiling is the part of decode engines' memory that can be used: the last
 	// gap of an engine is too small for a request, and what is set aside waits for
 	// its prefill.
 	decodeCeiling = 0.8
-	// margin is by how much the busier side must gain.
-	margin = 0.03
+	// margin is by how much the busier side must gain, and largeMargin the same if
+	// engines came or went lately.
+	margin      = 0.05
+	largeMargin = 0.25
 	// spareCeiling is how busy the side that loses an engine may become, by what the
 	// other side lets through.
 	spareCeiling = 0.85
@@ -48,10 +50,22 @@
 	// means over the same time, so a burst raises them alike.
 	PrefillMillis float64
 	DecodeTokens  float64
-	// Settled tells that hardly any engine has come or gone lately.
-	Settled bool
+	Turnover      Turnover
 }
 
+// Turnover tells how long ago engines came or went.
+type Turnover int
+
+// Turnovers.
+const (
+	// Restless is so soon after a turnover that the next one is to be expected.
+	Restless Turnover = iota
+	// Settling is when those that crashed and come back should be back.
+	Settling
+	// Settled is when hardly any engine came or went for long.
+	Settled
+)
+
 // Change is a decision to change an engine's stage, with the loads that led to it.
 type Change struct {
 	Endpoint figseam.ListedEndpoint
@@ -66,7 +80,7 @@
 func Decide(l Load) (Change, bool) {
 	prefill := l.side(figseam.StageForPrefill)
 	decode := l.side(figseam.StageForDecode)
-	if !l.Settled || len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
+	if l.Turnover == Restless || len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
 		return Change{}, false
 	}
 	p, d := len(prefill), len(decode)
@@ -84,8 +98,12 @@
 		c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p+1), l.decodeLoad(d-1)
 		meanwhile = l.decodeLoad(present(decode)-1) / max(1, c.PrefillLoad)
 	}
+	needed := margin
+	if l.Turnover == Settling {
+		needed = largeMargin
+	}
 	gain := max(c.PrefillLoad, c.DecodeLoad) - max(c.PrefillAfter, c.DecodeAfter)
-	if left < fewest || gain < margin || meanwhile > spareCeiling {
+	if left < fewest || gain < needed || meanwhile > spareCeiling {
 		return Change{}, false
 	}
 	c.Endpoint = leastUsed(from)
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -11,7 +11,7 @@
 )
 
 func load(prefill, decode int, prefillMillis, decodeTokens float64) stager.Load {
-	l := stager.Load{Settled: true, MemoryTokens: 1000, PrefillMillis: prefillMillis, DecodeTokens: decodeTokens}
+	l := stager.Load{Turnover: stager.Settled, MemoryTokens: 1000, PrefillMillis: prefillMillis, DecodeTokens: decodeTokens}
 	add := func(n int, stage figseam.EndpointStage) {
 		for i := range n {
 			centre := figseam.DataCentre(fmt.Sprintf("dc%d", i%2))
@@ -25,9 +25,9 @@
 	return l
 }
 
-// unsettled returns the load soon after an engine came or went.
-func unsettled(l stager.Load) stager.Load {
-	l.Settled = false
+// after returns the load some time after an engine came or went.
+func after(turnover stager.Turnover, l stager.Load) stager.Load {
+	l.Turnover = turnover
 	return l
 }
 
@@ -55,8 +55,9 @@
 		{"a burst that raises both alike", load(4, 8, 3200, 7200), figseam.StageNone},
 		{"a small gain", load(5, 7, 1300, 3900), figseam.StageForDecode},
 		{"a small gain for prompts", load(3, 9, 1900, 3000), figseam.StageForPrefill},
-		{"prefill engines crashed and may be back", unsettled(load(2, 7, 2600, 3600)), figseam.StageNone},
-		{"the same for good", load(2, 7, 2600, 3600), figseam.StageForPrefill},
+		{"prefill engines crashed a moment ago", after(stager.Restless, load(2, 7, 2600, 3600)), figseam.StageNone},
+		{"they are not back", after(stager.Settling, load(2, 7, 2600, 3600)), figseam.StageForPrefill},
+		{"a small gain while engines come and go", after(stager.Settling, load(5, 7, 1300, 3900)), figseam.StageNone},
 		{"a burst on idle prefill engines", load(5, 7, 1800, 9000), figseam.StageForDecode},
 		{"a burst on both, none can be spared", load(5, 7, 3900, 7400), figseam.StageNone},
 		{"the next one while the first is away", away(load(3, 9, 1300, 4700), 2), figseam.StageNone},
