stager, runner: large fleets change several engines at once

Cause: 60 engines with 21 for prefill: one change gains 0.027, below the margin, so nothing changed at all and the decode side was over its limit at usual load. Change: the margin is asked of the best split, not of one step; up to a tenth of the engines change at once, as many as their side can spare.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -121,11 +121,13 @@
 	return true
 }
 
-// Suspend lists an endpoint as leaving until a deadline, here and at all that are
-// told of this reading.
-func (l *List) Suspend(id string, until figseam.Deadline) {
+// Suspend lists endpoints as leaving until a deadline, here and at all that are told
+// of this reading.
+func (l *List) Suspend(ids []string, until figseam.Deadline) {
 	l.mu.Lock()
-	l.suspended[id] = until
+	for _, id := range ids {
+		l.suspended[id] = until
+	}
 	endpoints, readAt := slices.Clone(l.endpoints), l.readAt.Add(1)
 	l.mu.Unlock()
 	l.take(l.withSuspended(endpoints), readAt)
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -103,7 +103,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := start(t, &source{ids: []string{"a", "b"}}, 500*time.Millisecond)
 		time.Sleep(time.Second)
-		l.Suspend("a", figseam.DeadlineAfterMillis(2000))
+		l.Suspend([]string{"a"}, figseam.DeadlineAfterMillis(2000))
 		require.True(t, l.Service("s")[0].Leaving)
 		time.Sleep(time.Second)
 		require.True(t, l.Service("s")[0].Leaving)
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/keeper"
 	"github.com/figseam/figseam/platform"
@@ -24,8 +28,10 @@
 	// listLagMillis is how long after a change the list may still show the former
 	// stage.
 	listLagMillis = 2000
-	// orderMillis bounds a call to an engine.
-	orderMillis = 800
+	// orderMillis bounds the question and the order to one engine, changesMillis all
+	// that belongs to the changes made at once.
+	orderMillis   = 800
+	changesMillis = 2000
 	// orderPauseMillis is the least time between two orders.
 	orderPauseMillis = 1500
 	// restlessMillis and settleMillis are how long a service's engines are restless
@@ -49,7 +55,7 @@
 	begins      figseam.Deadline
 	pausedUntil figseam.Deadline
 	// fenced is a term in which an engine saw a higher fencing number.
-	fenced uint64
+	fenced atomic.Uint64
 	table  *figseam.Table
 	// changing are the engines that were ordered lately; the list may still show
 	// their former stage.
@@ -106,7 +112,7 @@
 		s.term = status.Term
 		s.begins = figseam.DeadlineAfterMillis(int64(s.settings.OrderLeaseMillis) + leaseSlackMillis)
 	}
-	if !s.begins.Passed() || s.fenced == s.term || (!s.pausedUntil.IsZero() && !s.pausedUntil.Passed()) {
+	if !s.begins.Passed() || s.fenced.Load() == s.term || (!s.pausedUntil.IsZero() && !s.pausedUntil.Passed()) {
 		return
 	}
 	s.loadTable()
@@ -119,8 +125,8 @@
 		if traits == nil || traits.SwitchMillis <= 0 {
 			continue
 		}
-		if c, ok := stager.Decide(s.load(service, traits, uses)); ok {
-			s.change(ctx, service, traits, c)
+		if changes := stager.Decide(s.load(service, traits, uses)); len(changes) > 0 {
+			s.change(ctx, service, traits, changes)
 			return
 		}
 	}
@@ -201,37 +207,80 @@
 	return stager.Settled
 }
 
-// change lists the engine as leaving, proves that this voter still leads, and
-// gives the order.
-func (s *stewardship) change(ctx context.Context, service string, traits *figseam.EngineTraits, c stager.Change) {
-	ctx, cancel := context.WithTimeout(ctx, 2*orderMillis*time.Millisecond+spreadWaitMillis*time.Millisecond)
+// change lists the engines as leaving, proves that this voter still leads, and
+// gives the orders.
+func (s *stewardship) change(ctx context.Context, service string, traits *figseam.EngineTraits, changes []stager.Change) {
+	ctx, cancel := context.WithTimeout(ctx, changesMillis*time.Millisecond)
 	defer cancel()
 	s.pausedUntil = figseam.DeadlineAfterMillis(orderPauseMillis)
 	away := figseam.DeadlineAfterMillis(traits.SwitchMillis + listLagMillis)
-	s.changing[c.Endpoint.ID] = changing{stage: c.Stage, until: away}
-	s.list.Suspend(c.Endpoint.ID, figseam.DeadlineAfterMillis(traits.SwitchMillis+spreadWaitMillis))
-	line := s.log.Info().Str("service", service).Str("endpoint", c.Endpoint.ID).Uint64("fence", s.term).
-		Float64("prefill_load", c.PrefillLoad).Float64("decode_load", c.DecodeLoad).
-		Float64("prefill_after", c.PrefillAfter).Float64("decode_after", c.DecodeAfter).Int("stage", int(c.Stage))
-	state, err := s.steward.State(ctx, c.Endpoint)
-	if err != nil || state.Busy || state.Stage != c.Endpoint.Stage {
-		line.Err(err).Bool("busy", state.Busy).Msg("engine not ordered")
-		return
+	suspended := make([]string, 0, len(changes))
+	for _, c := range changes {
+		s.changing[c.Endpoint.ID] = changing{stage: c.Stage, until: away}
+		suspended = append(suspended, c.Endpoint.ID)
 	}
+	s.list.Suspend(suspended, figseam.DeadlineAfterMillis(traits.SwitchMillis+spreadWaitMillis))
+	log := s.log.With().Str("service", service).Uint64("fence", s.term).Logger()
+	orders := s.prepare(ctx, log, changes)
 	select {
 	case <-ctx.Done():
 		return
 	case <-time.After(spreadWaitMillis * time.Millisecond):
 	}
 	if _, _, err := s.proof.Read(ctx); err != nil || s.node.Status().Term != s.term {
-		line.Err(err).Msg("engine not ordered: leadership is not certain")
+		log.Info().Err(err).Strs("endpoints", suspended).Msg("engines not ordered: leadership is not certain")
 		return
 	}
-	outcome, err := s.steward.Order(ctx, c.Endpoint, figseam.StageOrder{
-		Stage: c.Stage, Holder: figseam.InstanceID(s.settings.Instance), Fence: s.term, Orders: state.Orders,
-	})
+	var given sync.WaitGroup
+	for _, o := range orders {
+		given.Go(func() { s.order(ctx, log, o) })
+	}
+	given.Wait()
+}
+
+// plannedOrder is an order that is ready to be given.
+type plannedOrder struct {
+	change stager.Change
+	order  figseam.StageOrder
+}
+
+// prepare asks the engines for their state and returns the orders to those that can
+// change.
+func (s *stewardship) prepare(ctx context.Context, log zerolog.Logger, changes []stager.Change) []plannedOrder {
+	ctx, cancel := context.WithTimeout(ctx, orderMillis*time.Millisecond)
+	defer cancel()
+	var mu sync.Mutex
+	var orders []plannedOrder
+	var asked sync.WaitGroup
+	for _, c := range changes {
+		asked.Go(func() {
+			state, err := s.steward.State(ctx, c.Endpoint)
+			if err != nil || state.Busy || state.Stage != c.Endpoint.Stage {
+				log.Info().Err(err).Str("endpoint", c.Endpoint.ID).Bool("busy", state.Busy).Msg("engine not ordered")
+				return
+			}
+			order := figseam.StageOrder{
+				Stage: c.Stage, Holder: figseam.InstanceID(s.settings.Instance), Fence: s.term, Orders: state.Orders,
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			orders = append(orders, plannedOrder{change: c, order: order})
+		})
+	}
+	asked.Wait()
+	return orders
+}
+
+// order gives one order.
+func (s *stewardship) order(ctx context.Context, log zerolog.Logger, o plannedOrder) {
+	ctx, cancel := context.WithTimeout(ctx, orderMillis*time.Millisecond)
+	defer cancel()
+	c := o.change
+	outcome, err := s.steward.Order(ctx, c.Endpoint, o.order)
 	if outcome == figseam.OrderFenced {
-		s.fenced = s.term
+		s.fenced.Store(o.order.Fence)
 	}
-	line.Err(err).Int("outcome", int(outcome)).Msg("engine ordered to change its stage")
+	log.Info().Str("endpoint", c.Endpoint.ID).Float64("prefill_load", c.PrefillLoad).Float64("decode_load", c.DecodeLoad).
+		Float64("prefill_after", c.PrefillAfter).Float64("decode_after", c.DecodeAfter).Int("stage", int(c.Stage)).
+		Err(err).Int("outcome", int(outcome)).Msg("engine ordered to change its stage")
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -3,14 +3,18 @@
 //
 // Load pattern: traffic whose prompts and answers need another ratio of prefill to
 // decode engines than there is, above all bursts in which the decode engines'
-// memory is full while prefill engines idle. One engine at a time changes its
+// memory is full while prefill engines idle. A few engines at a time change their
 // stage, and only if afterwards the busier side is still less busy than the busier
 // one is now, by a margin, and if the side that loses the engine can spare it: the
 // engine is away for seconds. Engines that crash come back, mostly sooner than one
 // that changes its stage, so nothing changes soon after engines came or went.
 package stager
 
-import "github.com/figseam/figseam"
+import (
+	"slices"
+
+	"github.com/figseam/figseam"
+)
 
 const (
 	// prefillCeiling is how busy prefill engines may be before prompts queue up.
@@ -26,6 +30,9 @@
 	// spareCeiling is how busy the side that loses an engine may become, by what the
 	// other side lets through.
 	spareCeiling = 0.85
+	// awayShare is the share of the engines that may be away to change their stage at
+	// the same time; one may in any case.
+	awayShare = 0.1
 	// quiet is the load of the busier side below which nothing changes.
 	quiet = 0.2
 	// fewest is how many engines of a stage are kept.
@@ -76,38 +83,80 @@
 	PrefillAfter, DecodeAfter float64
 }
 
-// Decide returns the change to make, if any.
-func Decide(l Load) (Change, bool) {
+// Decide returns the changes to make, if any: the first of those that lead to the
+// best split, as many as the side that loses the engines can spare at once.
+func Decide(l Load) []Change {
 	prefill := l.side(figseam.StageForPrefill)
 	decode := l.side(figseam.StageForDecode)
 	if l.Turnover == Restless || len(prefill) == 0 || len(decode) == 0 || l.MemoryTokens <= 0 {
-		return Change{}, false
+		return nil
 	}
-	p, d := len(prefill), len(decode)
-	c := Change{PrefillLoad: l.prefillLoad(p), DecodeLoad: l.decodeLoad(d)}
-	if max(c.PrefillLoad, c.DecodeLoad) < quiet {
-		return Change{}, false
+	now := split{prefill: len(prefill), decode: len(decode)}
+	if l.worst(now) < quiet {
+		return nil
 	}
-	from, left := prefill, p-1
-	c.Stage = figseam.StageForDecode
-	c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p-1), l.decodeLoad(d+1)
-	meanwhile := l.prefillLoad(present(prefill)-1) / max(1, c.DecodeLoad)
-	if c.PrefillLoad > c.DecodeLoad {
-		from, left = decode, d-1
-		c.Stage = figseam.StageForPrefill
-		c.PrefillAfter, c.DecodeAfter = l.prefillLoad(p+1), l.decodeLoad(d-1)
-		meanwhile = l.decodeLoad(present(decode)-1) / max(1, c.PrefillLoad)
+	from, stage, step := prefill, figseam.StageForDecode, split{prefill: -1, decode: 1}
+	if l.prefillLoad(now.prefill) > l.decodeLoad(now.decode) {
+		from, stage, step = decode, figseam.StageForPrefill, split{prefill: 1, decode: -1}
 	}
+	best := l.bestSteps(now, step)
 	needed := margin
 	if l.Turnover == Settling {
 		needed = largeMargin
 	}
-	gain := max(c.PrefillLoad, c.DecodeLoad) - max(c.PrefillAfter, c.DecodeAfter)
-	if left < fewest || gain < needed || meanwhile > spareCeiling {
-		return Change{}, false
+	after := now.plus(step, best)
+	if best == 0 || l.worst(now)-l.worst(after) < needed {
+		return nil
+	}
+	var changes []Change
+	for range min(best, l.spared(now, stage, len(from), present(from))) {
+		i := leastUsed(from)
+		changes = append(changes, Change{
+			Endpoint: from[i].Endpoint, Stage: stage,
+			PrefillLoad: l.prefillLoad(now.prefill), DecodeLoad: l.decodeLoad(now.decode),
+			PrefillAfter: l.prefillLoad(after.prefill), DecodeAfter: l.decodeLoad(after.decode),
+		})
+		from = slices.Delete(from, i, i+1)
 	}
-	c.Endpoint = leastUsed(from)
-	return c, true
+	return changes
+}
+
+// split is how many engines read prompts and how many generate.
+type split struct{ prefill, decode int }
+
+// plus returns the split after so many steps.
+func (s split) plus(step split, n int) split {
+	return split{prefill: s.prefill + n*step.prefill, decode: s.decode + n*step.decode}
+}
+
+// worst returns the load of the busier side.
+func (l Load) worst(s split) float64 { return max(l.prefillLoad(s.prefill), l.decodeLoad(s.decode)) }
+
+// bestSteps returns how many steps lead to the least load of the busier side.
+func (l Load) bestSteps(now, step split) int {
+	best := 0
+	for n := 1; ; n++ {
+		s := now.plus(step, n)
+		if min(s.prefill, s.decode) < fewest || l.worst(s) >= l.worst(now.plus(step, best)) {
+			return best
+		}
+		best = n
+	}
+}
+
+// spared returns how many engines may begin to change to a stage now.
+func (l Load) spared(now split, stage figseam.EndpointStage, from, there int) int {
+	loadOf, other := l.prefillLoad, l.decodeLoad(now.decode)
+	if stage == figseam.StageForPrefill {
+		loadOf, other = l.decodeLoad, l.prefillLoad(now.prefill)
+	}
+	away := len(l.Engines) - present(l.Engines)
+	most := max(1, int(awayShare*float64(len(l.Engines)))) - away
+	n := 0
+	for n < min(most, from-fewest) && loadOf(there-n-1)/max(1, other) <= spareCeiling {
+		n++
+	}
+	return n
 }
 
 // side returns the engines of a stage that stay.
@@ -142,18 +191,19 @@
 	return l.DecodeTokens / (decodeCeiling * float64(l.MemoryTokens) * float64(max(0, n)))
 }
 
-// leastUsed returns the least used engine of the data centre that has most.
-func leastUsed(engines []Engine) figseam.ListedEndpoint {
+// leastUsed returns the index of the least used engine of the data centre that has
+// most.
+func leastUsed(engines []Engine) int {
 	count := map[figseam.DataCentre]int{}
 	for _, e := range engines {
 		count[e.Endpoint.DataCentre]++
 	}
-	best := engines[0]
-	for _, e := range engines[1:] {
-		more := count[e.Endpoint.DataCentre] - count[best.Endpoint.DataCentre]
-		if more > 0 || (more == 0 && e.Tokens < best.Tokens) {
-			best = e
+	best := 0
+	for i, e := range engines {
+		more := count[e.Endpoint.DataCentre] - count[engines[best].Endpoint.DataCentre]
+		if more > 0 || (more == 0 && e.Tokens < engines[best].Tokens) {
+			best = i
 		}
 	}
-	return best.Endpoint
+	return best
 }
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -64,9 +64,13 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c, ok := stager.Decide(test.load)
-			require.Equal(t, test.want != figseam.StageNone, ok)
-			require.Equal(t, test.want, c.Stage)
+			changes := stager.Decide(test.load)
+			if test.want == figseam.StageNone {
+				require.Empty(t, changes)
+				return
+			}
+			require.Len(t, changes, 1, "one of a dozen engines at a time")
+			require.Equal(t, test.want, changes[0].Stage)
 		})
 	}
 }
@@ -77,10 +81,10 @@
 		for decodeTokens := 500.0; decodeTokens < 10_000; decodeTokens += 450 {
 			l := load(5, 7, prefillMillis, decodeTokens)
 			changes := 0
-			for c, ok := stager.Decide(l); ok; c, ok = stager.Decide(l) {
+			for c := stager.Decide(l); len(c) > 0; c = stager.Decide(l) {
 				for i := range l.Engines {
-					if l.Engines[i].Endpoint.ID == c.Endpoint.ID {
-						l.Engines[i].Endpoint.Stage = c.Stage
+					if l.Engines[i].Endpoint.ID == c[0].Endpoint.ID {
+						l.Engines[i].Endpoint.Stage = c[0].Stage
 					}
 				}
 				changes++
@@ -89,3 +93,27 @@
 		}
 	}
 }
+
+// TestLargeFleetsChangeInSteps replays the start of a fleet of 60 engines with far
+// too many of them for prefill: no single change gains much, all together do.
+func TestLargeFleetsChangeInSteps(t *testing.T) {
+	l := load(21, 39, 6300, 33_000)
+	changes := stager.Decide(l)
+	require.Len(t, changes, 6, "a tenth of the engines at once")
+	seen := map[string]bool{}
+	for _, c := range changes {
+		require.Equal(t, figseam.StageForDecode, c.Stage)
+		require.False(t, seen[c.Endpoint.ID], "an engine is ordered twice")
+		seen[c.Endpoint.ID] = true
+	}
+	for i := range l.Engines {
+		if seen[l.Engines[i].Endpoint.ID] {
+			l.Engines[i].Endpoint.Stage, l.Engines[i].Away = figseam.StageForDecode, true
+		}
+	}
+	require.Empty(t, stager.Decide(l), "the next ones wait until these are back")
+	for i := range l.Engines {
+		l.Engines[i].Away = false
+	}
+	require.NotEmpty(t, stager.Decide(l))
+}
