selector, sharer, lister: what others cannot reach is left alone; suspensions travel with the list

Change: instances tell each other what they cannot connect to or what does not answer a short call; it rests if two and more of them than have work there say so; connections may fail for 400 ms, 12 times at most; suspended endpoints are named in every reading.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -41,6 +41,9 @@
 	Endpoints []figseam.ListedEndpoint `cbor:"3,keyasint,omitempty"`
 	// Known is false as long as nothing was read.
 	Known bool `cbor:"4,keyasint,omitempty"`
+	// SuspendedMillis is for how much longer endpoints are listed as leaving though the
+	// platform's list says otherwise, by their IDs.
+	SuspendedMillis map[string]int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // List keeps the newest reading. It is safe for concurrent use.
@@ -261,6 +264,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := Reading{Digest: l.digest, AgeMillis: l.age().Milliseconds(), Known: l.byService != nil}
+	for id, until := range l.suspended {
+		if until.Passed() {
+			continue
+		}
+		if r.SuspendedMillis == nil {
+			r.SuspendedMillis = map[string]int64{}
+		}
+		r.SuspendedMillis[id] = until.RemainingMillis()
+	}
 	if r.Known && has != l.digest {
 		r.Endpoints = l.endpoints
 	}
@@ -274,6 +286,13 @@
 	}
 	readAt := time.Now().Add(-time.Duration(r.AgeMillis) * time.Millisecond)
 	l.mu.Lock()
+	for id, millis := range r.SuspendedMillis {
+		// Whoever reads the list next must know, also if the one that suspended the
+		// endpoint is frozen or cut off by then.
+		if _, ok := l.suspended[id]; !ok {
+			l.suspended[id] = figseam.DeadlineAfterMillis(millis)
+		}
+	}
 	same := l.byService != nil && r.Digest == l.digest
 	if same && readAt.After(l.readAt) {
 		l.readAt = readAt
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -112,3 +112,20 @@
 		require.False(t, l.Service("s")[0].Leaving)
 	})
 }
+
+// TestSuspensionOutlivesItsInstance replays an instance that orders an engine to
+// change its stage and freezes: whoever reads the list next lists it as leaving too.
+func TestSuspensionOutlivesItsInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := start(t, &source{ids: []string{"a", "b"}}, 500*time.Millisecond)
+		next := start(t, &source{ids: []string{"a", "b"}}, 800*time.Millisecond)
+		time.Sleep(time.Second)
+		first.Suspend([]string{"a"}, figseam.DeadlineAfterMillis(4000))
+		digest, _ := next.Digest()
+		next.Merge(first.Reading(digest))
+		time.Sleep(3 * time.Second)
+		require.True(t, next.Service("s")[0].Leaving)
+		time.Sleep(2 * time.Second)
+		require.False(t, next.Service("s")[0].Leaving)
+	})
+}
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -13,13 +13,25 @@
 const (
 	// callWorkMillis is what a call is expected to keep an endpoint busy.
 	callWorkMillis = 10
-	// connectTries bounds the endpoints to which no connection could be opened.
-	connectTries = 4
+	// connectTries and connectMillis are how often and how long connections to
+	// endpoints may fail before a request is refused; it is refused after connectMost
+	// of them in any case.
+	connectTries  = 4
+	connectMillis = 400
+	connectMost   = 12
 	// patienceOfTarget times the route's target is how long an answer may take
 	// before an idempotent request is sent elsewhere.
 	patienceOfTarget = 1.2
 )
 
+// connectsFail reports whether a request is refused after so many connections failed.
+func connectsFail(failed int, began time.Time) bool {
+	if failed >= connectMost {
+		return true
+	}
+	return failed >= connectTries && time.Since(began) >= connectMillis*time.Millisecond
+}
+
 // call carries a request to a plain service.
 func (t *task) call(ctx context.Context) {
 	var failed *answer
@@ -37,7 +49,7 @@
 		t.avoid[e.ID] = true
 		t.mayHaveRun = t.mayHaveRun || (code != explainer.NotConnected && code != explainer.EndpointRefused)
 		if code == explainer.NotConnected {
-			if connects++; connects < connectTries {
+			if connects++; !connectsFail(connects, t.began) {
 				continue
 			}
 			break
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -120,8 +120,10 @@
 		return selector.Good
 	case explainer.CallerGone, explainer.DeadlinePassed:
 		return selector.Neutral
-	case explainer.NotConnected, explainer.EndpointSilent:
+	case explainer.NotConnected:
 		return selector.Unreachable
+	case explainer.EndpointSilent:
+		return selector.Silent
 	}
 	return selector.Bad
 }
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -47,7 +47,7 @@
 	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
 	t.rooms.count(t.service, reading, t.expectedTokens(), t.stays.get())
 	prefilling := true
-	for connects := 0; connects < connectTries; {
+	for connects, began := 0, time.Now(); !connectsFail(connects, began); {
 		var seat *seat
 		seat, code = t.takeSeat(ctx)
 		if seat == nil {
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -88,7 +88,7 @@
 			return nil, code
 		}
 		if code != explainer.EndpointRefused {
-			if turn.failures++; turn.failures >= connectTries {
+			if turn.failures++; connectsFail(turn.failures, began) {
 				return nil, code
 			}
 			continue
@@ -113,10 +113,13 @@
 }
 
 // verdictOfHold says what a call to set memory aside tells of the engine: one that
-// has no room is well.
+// has no room is well, and one that does not answer so short a call is out of reach.
 func verdictOfHold(code figseam.Code) selector.Verdict {
-	if code == explainer.EndpointRefused {
+	switch code {
+	case explainer.EndpointRefused:
 		return selector.Neutral
+	case explainer.EndpointSilent:
+		return selector.Unreachable
 	}
 	return verdictOf(code)
 }
--- a/selector/board.go
+++ b/selector/board.go
@@ -29,6 +29,10 @@
 	othersMillis = 1500
 	// fullMillis is how long an endpoint that said that it is full is left alone.
 	fullMillis = 60
+	// unreachedMillis is how long others are told of an endpoint that could not be
+	// reached, and unreachedMost from how many of them it is left alone.
+	unreachedMillis = 1000
+	unreachedMost   = 2
 	// doubtfulMillis is how long a data centre is in doubt.
 	doubtfulMillis = 3000
 	// memoryFill is the part of an engine's memory that requests are placed on.
@@ -50,6 +54,15 @@
 	latency    float64
 	trying     bool
 	fullUntil  time.Time
+	// heardAt is when it last answered, unreachedAt when it could not be reached; zero
+	// after it answered.
+	heardAt     time.Time
+	unreachedAt time.Time
+}
+
+// unreached reports whether the endpoint could not be reached at the last try.
+func (r *record) unreached(now time.Time) bool {
+	return !r.unreachedAt.IsZero() && now.Sub(r.unreachedAt) < unreachedMillis*time.Millisecond
 }
 
 // Board keeps what is believed of endpoints. It is safe for concurrent use.
@@ -100,17 +113,25 @@
 	b.changed = make(chan struct{})
 }
 
-// Own returns what this instance has under way.
+// Own returns what this instance has under way, and the endpoints that it could not
+// reach.
 func (b *Board) Own() []figseam.EndpointUse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	now := time.Now()
 	var all []figseam.EndpointUse
 	for k, r := range b.records {
-		if r.underWay > 0 {
-			all = append(all, figseam.EndpointUse{
-				Endpoint: figseam.HashEndpoint(k.id), Requests: r.underWay, WorkMillis: int(r.work), Tokens: r.tokens,
-			})
+		unreached := r.unreached(now)
+		if r.underWay == 0 && !unreached {
+			continue
 		}
+		u := figseam.EndpointUse{
+			Endpoint: figseam.HashEndpoint(k.id), Requests: r.underWay, WorkMillis: int(r.work), Tokens: r.tokens,
+		}
+		if unreached {
+			u.Unreached = 1
+		}
+		all = append(all, u)
 	}
 	return all
 }
@@ -182,7 +203,7 @@
 	defer w.b.mu.Unlock()
 	r := w.b.record(w.endpoint)
 	now := time.Now()
-	r.answeredAt = now
+	r.answeredAt, r.heardAt, r.unreachedAt = now, now, time.Time{}
 	w.b.contact(w.endpoint).answeredAt = now
 	if !w.answered {
 		w.answered = true
@@ -203,7 +224,9 @@
 	Neutral Verdict = iota
 	Good
 	Bad
-	// Unreachable is Bad, and may be the fault of the way to the endpoint.
+	// Silent is Bad, and may be the fault of the way to the endpoint.
+	Silent
+	// Unreachable is the same, and others are told of it.
 	Unreachable
 )
 
@@ -231,11 +254,15 @@
 	switch v {
 	case Good:
 		r.failure = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis) * (1 - failureWeight)
-		r.failureAt, r.inRow = now, 0
+		r.failureAt, r.inRow, r.unreachedAt = now, 0, time.Time{}
 	case Bad:
 		r.fail(now)
+	case Silent:
+		r.fail(now)
+		w.b.contact(w.endpoint).unreachableAt = now
 	case Unreachable:
 		r.fail(now)
+		r.unreachedAt = now
 		w.b.contact(w.endpoint).unreachableAt = now
 	case Neutral:
 	}
@@ -317,6 +344,7 @@
 	}
 	c.FailureShare = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
 	c.InRow, c.Trying = r.inRow, r.trying
+	c.Unreached = others.Unreached >= unreachedMost && others.Unreached > others.Requests && now.Sub(r.heardAt) > unreachedMillis*time.Millisecond
 	c.Doubtful = b.centres[e.DataCentre].doubtful(now)
 	c.SinceFailureMillis = float64(now.Sub(r.failureAt).Milliseconds())
 	c.PatienceMillis = max(patienceMillis, patienceFactor*r.latency)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -56,6 +56,9 @@
 	Trying bool
 	// Doubtful tells that its data centre seems to be cut off from here.
 	Doubtful bool
+	// Unreached tells that other instances could not reach the endpoint a moment ago,
+	// more of them than have requests under way there.
+	Unreached bool
 	// Full tells that no place is free.
 	Full bool
 }
@@ -110,8 +113,13 @@
 }
 
 // Rests reports whether an endpoint is left alone: after failures in a row, for
-// a while, and then until a single request has shown that it is well.
+// a while, and then until a single request has shown that it is well. What other
+// instances cannot reach is left alone as well: an endpoint that crashed has no work
+// any more and would look best to each of them in turn.
 func Rests(c Candidate) bool {
+	if c.Unreached {
+		return true
+	}
 	if c.InRow < failuresInRow {
 		return false
 	}
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -179,3 +179,53 @@
 		})
 	}
 }
+
+// TestOthersCannotReach replays a crash beside many instances: one that has not yet
+// met the dead endpoint leaves it alone because others could not reach it, unless
+// it has just heard of it itself, or more requests are under way there.
+func TestOthersCannotReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := selector.NewBoard()
+		e := at("a", "here")
+		rests := func() bool {
+			all := b.Candidates([]figseam.ListedEndpoint{e}, func(figseam.ListedEndpoint) bool { return false }, 0, 0)
+			return selector.Rests(all[0])
+		}
+		told := func(unreached, requests int) {
+			b.SetOthers([]figseam.EndpointUse{{Endpoint: figseam.HashEndpoint("a"), Unreached: unreached, Requests: requests}})
+		}
+		told(1, 0)
+		require.False(t, rests(), "one instance may be cut off itself")
+		told(3, 0)
+		require.True(t, rests())
+		told(3, 5)
+		require.False(t, rests(), "others are served there")
+		w := b.Begin(e, 10, 0)
+		w.Answered()
+		w.End(selector.Good)
+		told(3, 0)
+		require.False(t, rests(), "it has just answered here")
+		time.Sleep(1500 * time.Millisecond)
+		told(3, 0)
+		require.True(t, rests())
+	})
+}
+
+// TestUnreachedIsTold holds that others are told of what could not be reached, for
+// a moment and until it answers.
+func TestUnreachedIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := selector.NewBoard()
+		e := at("a", "here")
+		b.Begin(e, 10, 0).End(selector.Unreachable)
+		require.Len(t, b.Own(), 1)
+		require.Equal(t, 1, b.Own()[0].Unreached)
+		time.Sleep(1100 * time.Millisecond)
+		require.Empty(t, b.Own())
+		b.Begin(e, 10, 0).End(selector.Unreachable)
+		w := b.Begin(e, 10, 0)
+		w.Answered()
+		w.End(selector.Good)
+		require.Empty(t, b.Own())
+	})
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -111,6 +111,7 @@
 		total.Requests += u.Requests
 		total.WorkMillis += u.WorkMillis
 		total.Tokens += u.Tokens
+		total.Unreached += u.Unreached
 		s[u.Endpoint] = total
 	}
 	return true
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -69,6 +69,7 @@
 				require.Empty(t, changes)
 				return
 			}
+			require.NotEmpty(t, changes)
 			require.Len(t, changes, 1, "one of a dozen engines at a time")
 			require.Equal(t, test.want, changes[0].Stage)
 		})
--- a/table.go
+++ b/table.go
@@ -149,6 +149,9 @@
 	WorkMillis int `cbor:"3,keyasint,omitempty"`
 	// Tokens is the memory that the requests need.
 	Tokens int `cbor:"4,keyasint,omitempty"`
+	// Unreached is how many instances could not reach the endpoint at their last try,
+	// a moment ago.
+	Unreached int `cbor:"5,keyasint,omitempty"`
 }
 
 // HashEndpoint returns the hash by which an endpoint is named in messages.
