soaker, imitator, figload: a fault soak of processes, with proxies and signals

The stand-in fleet of the platform's tests became a package, so that the tests and the soak use one; what a caller got is judged by one function. The soak runs three voters and three entries as processes, kills, terminates, pauses, restarts and hangs them up, empties a disk, harms the links to endpoints and callers, spoils answers, takes the list away, publishes meanwhile, and judges: at most once, true refusals, whole answers, versions read never older, service when all is calm. Also: an engine that could not be reached is not asked again for the same request (platform TestCrashedEnginesTakeNobodyAlong failed in about 1 of 3 runs).

--- a/cmd/figload/main.go
+++ b/cmd/figload/main.go
@@ -31,6 +31,7 @@
 	{"standins", "serve the stand-ins of a layout", runStandIns},
 	{"slopes", "measure how costs grow with size", runSlopes},
 	{"compare", "run the same load against several policies", runCompare},
+	{"soak", "run processes under faults and check their promises", runSoak},
 }
 
 func main() {
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -88,6 +88,10 @@
 			return nil, code
 		}
 		if code != explainer.EndpointRefused {
+			t.avoid[e.ID] = true
+			if _, left := t.load(turn.queue); left == 0 {
+				return nil, code
+			}
 			if turn.failures++; connectsFail(turn.failures, began) {
 				return nil, code
 			}
