--- a/cmd/figseamd/main_test.go
+++ b/cmd/figseamd/main_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -44,3 +45,24 @@
 		})
 	}
 }
+
+// TestChangedFileIsSeen holds that a settings file that changes without a signal is
+// read again, once for each change.
+func TestChangedFileIsSeen(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	write := func(text string, at time.Time) {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		require.NoError(t, os.Chtimes(file, at, at))
+	}
+	began := time.Unix(1_700_000_000, 0)
+	write("{}", began)
+	w := newWatch(file)
+	require.False(t, w.changed())
+	write("{ }", began)
+	require.True(t, w.changed(), "another length")
+	require.False(t, w.changed())
+	write("{ }", began.Add(time.Second))
+	require.True(t, w.changed(), "another time")
+	require.NoError(t, os.Remove(file))
+	require.False(t, w.changed(), "a file that is being replaced")
+}
--- a/cmd/figseamd/relay.go
+++ b/cmd/figseamd/relay.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/figseam/figseam/loader"
 	"github.com/figseam/figseam/runner"
@@ -18,8 +19,11 @@
 	roleVoter = "voter"
 )
 
+// lookMillis is how often it is looked whether the settings file has changed.
+const lookMillis = 1000
+
 // runRelay runs an entry or a voter. SIGTERM and an interrupt make it leave in
-// order; SIGHUP makes it read its settings again.
+// order; SIGHUP and a changed settings file make it read its settings again.
 func runRelay(file, role string, check bool, out, errs io.Writer) int {
 	settings, faults, err := loader.LoadRelay(file, role == roleVoter)
 	if code := report(faults, err, check, out, errs); code != goOn {
@@ -29,9 +33,19 @@
 	defer stop()
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
+	w := newWatch(file)
 	reloads := make(chan loader.RelaySettings)
 	go func() {
-		for range hangups {
+		looks := time.NewTicker(lookMillis * time.Millisecond)
+		defer looks.Stop()
+		for {
+			select {
+			case <-hangups:
+			case <-looks.C:
+				if !w.changed() {
+					continue
+				}
+			}
 			changed, faults, err := loader.LoadRelay(file, role == roleVoter)
 			if err != nil || len(faults) > 0 {
 				_, _ = fmt.Fprintln(errs, "figseamd: the changed settings are not used:", err, faults)
@@ -65,3 +79,36 @@
 		}
 	}
 }
+
+// watch finds out whether a file was written again.
+type watch struct {
+	file string
+	seen stamp
+}
+
+// stamp is what changes with a file.
+type stamp struct {
+	modified time.Time
+	bytes    int64
+}
+
+func newWatch(file string) *watch {
+	w := &watch{file: file}
+	w.changed()
+	return w
+}
+
+// changed reports whether the file has changed since the last look. One that is not
+// there has not.
+func (w *watch) changed() bool {
+	info, err := os.Stat(w.file)
+	if err != nil {
+		return false
+	}
+	now := stamp{modified: info.ModTime(), bytes: info.Size()}
+	if now.bytes == w.seen.bytes && now.modified.Equal(w.seen.modified) {
+		return false
+	}
+	w.seen = now
+	return true
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -76,6 +76,7 @@
 func (e *Entry) Reload(settings loader.RelaySettings) {
 	seeds := settings.Voters()
 	e.seeds.Store(&seeds)
+	e.log.Info().Strs("seeds", settings.Seeds).Str("data_centre", string(settings.DataCentre)).Msg("settings read")
 }
 
 func (e *Entry) has() (version, digest uint64) {
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -104,6 +104,7 @@
 func (v *Voter) Reload(settings loader.RelaySettings) {
 	seeds := settings.Voters()
 	v.seeds.Store(&seeds)
+	v.log.Info().Strs("seeds", settings.Seeds).Str("data_centre", string(settings.DataCentre)).Msg("settings read")
 }
 
 // members returns the voters of the group.
