--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -60,6 +60,7 @@
 		{"a small gain while engines come and go", after(stager.Settling, load(5, 7, 1300, 3900)), figseam.StageNone},
 		{"a burst on idle prefill engines", load(5, 7, 1800, 9000), figseam.StageForDecode},
 		{"a burst on both, none can be spared", load(5, 7, 3900, 7400), figseam.StageNone},
+		{"a side that is nearly as busy cannot spare one", load(5, 7, 3000, 6720), figseam.StageNone},
 		{"the next one while the first is away", away(load(3, 9, 1300, 4700), 2), figseam.StageNone},
 	}
 	for _, test := range tests {
