--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -171,15 +171,13 @@
 		taken = u.take()
 		return taken != nil
 	}
-	if u.claims {
-		if _, timely := u.queue.Tokens(); !u.yields() && (timely == 0 || !u.waiting.Late(time.Now())) {
-			if take() {
-				return taken, ""
-			}
-			return nil, explainer.NoEndpoint
+	if u.claims && !u.givesClaimUp() {
+		if take() {
+			return taken, ""
 		}
-		u.unclaim()
+		return nil, explainer.NoEndpoint
 	}
+	u.unclaim()
 	if u.queue.Wait(ctx, u.waiting, u.until, take) {
 		return taken, ""
 	}
@@ -195,6 +193,16 @@
 	return u.waiting.Late(time.Now()) && u.Board.OtherTokens(TimelyName(u.service)) > 0
 }
 
+// givesClaimUp reports whether the request, late already, leaves its claim to those
+// that can still be in time, here or on other instances.
+func (u *turn) givesClaimUp() bool {
+	if !u.waiting.Late(time.Now()) {
+		return false
+	}
+	_, timely := u.queue.Tokens()
+	return timely > 0 || u.yields()
+}
+
 // take places the request where there is room, or claims a place.
 func (u *turn) take() *seat {
 	if u.yields() {
