lister, runner: a suspended engine is used when its new stage is listed, and not before

Change: a suspension ends when the endpoint is listed with another stage, 8 s after the order at the latest. Test: lister TestChangedStageEndsASuspension. KNOWN-RED: TestWholePathAndGracefulEnd failed once, not traced; it prints its logs now.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -62,14 +62,21 @@
 	readAt    time.Time
 	changed   chan struct{}
 	failing   bool
-	// suspended endpoints are listed as leaving until the deadline.
-	suspended map[string]figseam.Deadline
+	// suspended endpoints are listed as leaving until the deadline, or until they are
+	// listed with another stage.
+	suspended map[string]suspension
+}
+
+// suspension is until when an endpoint is suspended, and which stage it had.
+type suspension struct {
+	until figseam.Deadline
+	stage figseam.EndpointStage
 }
 
 // New returns an empty list. wanted returns the age of the reading at which the
 // instance reads it itself.
 func New(source Source, wanted func() time.Duration, log zerolog.Logger) *List {
-	return &List{source: source, wanted: wanted, log: log, changed: make(chan struct{}), suspended: map[string]figseam.Deadline{}}
+	return &List{source: source, wanted: wanted, log: log, changed: make(chan struct{}), suspended: map[string]suspension{}}
 }
 
 // Run reads the list whenever the reading is older than wanted. It returns a
@@ -125,11 +132,11 @@
 }
 
 // Suspend lists endpoints as leaving until a deadline, here and at all that are told
-// of this reading.
+// of this reading. One that is listed with another stage before is back.
 func (l *List) Suspend(ids []string, until figseam.Deadline) {
 	l.mu.Lock()
 	for _, id := range ids {
-		l.suspended[id] = until
+		l.suspended[id] = suspension{until: until, stage: stageIn(l.endpoints, id)}
 	}
 	endpoints, readAt := slices.Clone(l.endpoints), l.readAt.Add(1)
 	l.mu.Unlock()
@@ -139,19 +146,29 @@
 func (l *List) withSuspended(endpoints []figseam.ListedEndpoint) []figseam.ListedEndpoint {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for id, until := range l.suspended {
-		if until.Passed() {
+	for id, s := range l.suspended {
+		if s.until.Passed() {
 			delete(l.suspended, id)
 		}
 	}
 	for i, e := range endpoints {
-		if _, ok := l.suspended[e.ID]; ok {
+		if s, ok := l.suspended[e.ID]; ok && s.stage == e.Stage {
 			endpoints[i].Leaving = true
 		}
 	}
 	return endpoints
 }
 
+// stageIn returns the stage of an endpoint.
+func stageIn(endpoints []figseam.ListedEndpoint, id string) figseam.EndpointStage {
+	for _, e := range endpoints {
+		if e.ID == id {
+			return e.Stage
+		}
+	}
+	return figseam.StageNone
+}
+
 // take puts a reading in place if it is newer than the one held.
 func (l *List) take(endpoints []figseam.ListedEndpoint, readAt time.Time) {
 	figseam.SortEndpoints(endpoints)
@@ -264,14 +281,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := Reading{Digest: l.digest, AgeMillis: l.age().Milliseconds(), Known: l.byService != nil}
-	for id, until := range l.suspended {
-		if until.Passed() {
+	for id, s := range l.suspended {
+		if s.until.Passed() || s.stage != stageIn(l.endpoints, id) {
 			continue
 		}
 		if r.SuspendedMillis == nil {
 			r.SuspendedMillis = map[string]int64{}
 		}
-		r.SuspendedMillis[id] = until.RemainingMillis()
+		r.SuspendedMillis[id] = s.until.RemainingMillis()
 	}
 	if r.Known && has != l.digest {
 		r.Endpoints = l.endpoints
@@ -290,7 +307,11 @@
 		// Whoever reads the list next must know, also if the one that suspended the
 		// endpoint is frozen or cut off by then.
 		if _, ok := l.suspended[id]; !ok {
-			l.suspended[id] = figseam.DeadlineAfterMillis(millis)
+			endpoints := r.Endpoints
+			if endpoints == nil {
+				endpoints = l.endpoints
+			}
+			l.suspended[id] = suspension{until: figseam.DeadlineAfterMillis(millis), stage: stageIn(endpoints, id)}
 		}
 	}
 	same := l.byService != nil && r.Digest == l.digest
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -129,3 +129,25 @@
 		require.False(t, next.Service("s")[0].Leaving)
 	})
 }
+
+// TestChangedStageEndsASuspension replays an engine that is away to change its stage:
+// it is used again as soon as it is listed with the new one, and not before.
+func TestChangedStageEndsASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := lister.New(nil, func() time.Duration { return time.Hour }, zerolog.Nop())
+		reading := func(digest uint64, stage figseam.EndpointStage) {
+			time.Sleep(time.Millisecond)
+			l.Merge(lister.Reading{Known: true, Digest: digest, SuspendedMillis: map[string]int64{"a": 8000}, Endpoints: []figseam.ListedEndpoint{
+				{ID: "a", Service: "s", Stage: stage, Leaving: stage == figseam.StageForPrefill},
+			}})
+		}
+		reading(1, figseam.StageForPrefill)
+		require.True(t, l.Service("s")[0].Leaving)
+		require.Contains(t, l.Reading(0).SuspendedMillis, "a")
+		time.Sleep(7 * time.Second)
+		require.Contains(t, l.Reading(0).SuspendedMillis, "a", "the list lags")
+		reading(2, figseam.StageForDecode)
+		require.False(t, l.Service("s")[0].Leaving)
+		require.NotContains(t, l.Reading(0).SuspendedMillis, "a")
+	})
+}
--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -98,6 +98,11 @@
 	s.voter.Metrics, s.voter.DataFolder, s.voter.FirstStart = "127.0.0.1:"+freePort(t), t.TempDir(), true
 	s.entry.Instance, s.entry.Peers, s.entry.Metrics = "entry", "127.0.0.2:"+peers, "127.0.0.2:"+freePort(t)
 	s.entry.Callers, s.entry.Readiness = "127.0.0.2:"+freePort(t), "127.0.0.2:"+freePort(t)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Log(s.logs.String())
+		}
+	})
 	s.startVoter()
 	s.startEntry()
 	return s
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -26,7 +26,7 @@
 	// spreadWaitMillis is how long before an order the engine is listed as leaving.
 	spreadWaitMillis = 400
 	// listLagMillis is how long after a change the list may still show the former
-	// stage.
+	// stage: the engine finishes what it runs first.
 	listLagMillis = 2000
 	// orderMillis bounds the question and the order to one engine, changesMillis all
 	// that belongs to the changes made at once.
@@ -151,7 +151,7 @@
 		s.changing[c.Endpoint.ID] = changing{stage: c.Stage, until: away}
 		suspended = append(suspended, c.Endpoint.ID)
 	}
-	s.list.Suspend(suspended, figseam.DeadlineAfterMillis(traits.SwitchMillis+spreadWaitMillis))
+	s.list.Suspend(suspended, away)
 	log := s.log.With().Str("service", service).Uint64("fence", s.term).Logger()
 	orders := s.prepare(ctx, log, changes)
 	select {
