runner: the test of the whole path uses loopback addresses of its own process

Its ports were chosen free on 127.0.0.2, closed, and taken by another run of the same test before their use; the error lay unread in a channel. Ruled out: the voter (it founded its group, led and confirmed). Change: hosts of each process's own; the entry's error goes to the printed logs.

--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -63,14 +64,22 @@
 	return l.text.String()
 }
 
-// freePort returns a port that is free on both addresses.
+// hosts returns two loopback addresses of this process: on addresses that others use,
+// a port may be taken between its choice and its use.
+func hosts() (voter, entry string) {
+	network := fmt.Sprintf("127.%d.%d.", 1+(os.Getpid()>>8)%250, os.Getpid()%256)
+	return network + "1", network + "2"
+}
+
+// freePort returns a port that is free on both hosts.
 func freePort(t *testing.T) string {
+	first, second := hosts()
 	for range 100 {
-		a, err := net.Listen("tcp", "127.0.0.1:0")
+		a, err := net.Listen("tcp", first+":0")
 		require.NoError(t, err)
 		_, port, err := net.SplitHostPort(a.Addr().String())
 		require.NoError(t, err)
-		b, err := net.Listen("tcp", "127.0.0.2:"+port)
+		b, err := net.Listen("tcp", second+":"+port)
 		_ = a.Close()
 		if err == nil {
 			_ = b.Close()
@@ -87,17 +96,18 @@
 	s.list = httptest.NewServer(http.HandlerFunc(s.serveList))
 	t.Cleanup(s.endpoint.Close)
 	t.Cleanup(s.list.Close)
+	voter, entry := hosts()
 	peers := freePort(t)
-	seed := "127.0.0.1:" + freePort(t)
+	seed := voter + ":" + freePort(t)
 	common := loader.RelaySettings{
 		DataCentre: "here", Seeds: []string{seed}, List: s.list.Listener.Addr().String(), LogLevel: "info",
 		MemoryMegabytes: 256, GraceSeconds: 8, EndpointDrainMillis: 1200, RetryAllowance: 10, RetryWindowSeconds: 10,
 	}
 	s.voter, s.entry = common, common
-	s.voter.Instance, s.voter.Operators, s.voter.Peers = "voter", seed, "127.0.0.1:"+peers
-	s.voter.Metrics, s.voter.DataFolder, s.voter.FirstStart = "127.0.0.1:"+freePort(t), t.TempDir(), true
-	s.entry.Instance, s.entry.Peers, s.entry.Metrics = "entry", "127.0.0.2:"+peers, "127.0.0.2:"+freePort(t)
-	s.entry.Callers, s.entry.Readiness = "127.0.0.2:"+freePort(t), "127.0.0.2:"+freePort(t)
+	s.voter.Instance, s.voter.Operators, s.voter.Peers = "voter", seed, voter+":"+peers
+	s.voter.Metrics, s.voter.DataFolder, s.voter.FirstStart = voter+":"+freePort(t), t.TempDir(), true
+	s.entry.Instance, s.entry.Peers, s.entry.Metrics = "entry", entry+":"+peers, entry+":"+freePort(t)
+	s.entry.Callers, s.entry.Readiness = entry+":"+freePort(t), entry+":"+freePort(t)
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(s.logs.String())
@@ -124,7 +134,13 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stopEntry = stop
 	e := runner.NewEntry(s.entry, &s.logs)
-	go func() { s.entryEnded <- e.Run(ctx) }()
+	go func() {
+		err := e.Run(ctx)
+		if err != nil {
+			_, _ = fmt.Fprintln(&s.logs, "the entry ended:", err)
+		}
+		s.entryEnded <- err
+	}()
 }
 
 // serveEndpoint answers requests to /r/slow once they are released.
