relayer, locator: prompts that engines still keep are not read again; sharer: demands have fields of their own

Change: a broken stream goes on at its engine once, without setting memory aside; any other decode engine is told the address of the engine that has read the prompt; a decode engine that cannot be reached costs no second prefill; a caller with a last event is sent where its prompt is kept, for which the engines are asked once in half a second.

The memory for which requests wait and the rates of what comes travelled as uses of made-up endpoints; they are figseam.ServiceDemand now. No change of behaviour.

--- a/relayer/demand.go
+++ b/relayer/demand.go
@@ -20,6 +20,8 @@
 	// much as firstStays of them: those that end first are the short ones.
 	firstStayMillis = 3500
 	firstStays      = 5
+	// othersMillis is how long what other instances' requests ask for is believed.
+	othersMillis = 1500
 )
 
 // rooms are the queues for the decode engines of each service.
@@ -33,6 +35,15 @@
 	demands map[string]demand
 }
 
+// otherDemands is what the requests of other instances ask for. It is safe for
+// concurrent use.
+type otherDemands struct {
+	// mu guards everything below.
+	mu    sync.Mutex
+	all   []figseam.ServiceDemand
+	until figseam.Deadline
+}
+
 func (r *rooms) queue(service string) *queuer.Queue {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -44,42 +55,45 @@
 	return q
 }
 
-// Demand returns what the requests of this instance ask of each service, as uses
-// of endpoints that stand for it: the memory for which they wait, and the prefill
-// that they bring in a second.
-func (r *Relayer) Demand() []figseam.EndpointUse {
+// Demands returns what the requests of this instance ask of each service.
+func (r *Relayer) Demands() []figseam.ServiceDemand {
 	r.rooms.mu.Lock()
 	defer r.rooms.mu.Unlock()
-	var all []figseam.EndpointUse
+	now := time.Now()
+	var all []figseam.ServiceDemand
 	for service, q := range r.rooms.queues {
 		waiting, timely := q.Tokens()
-		if waiting > 0 {
-			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(QueueName(service)), Tokens: waiting})
-		}
-		if timely > 0 {
-			all = append(all, figseam.EndpointUse{Endpoint: figseam.HashEndpoint(TimelyName(service)), Tokens: timely})
-		}
-		d := r.rooms.demands[service]
-		now := time.Now()
-		if millis := d.prefill.perSecond(now); millis >= 1 {
-			all = append(all, figseam.EndpointUse{
-				Endpoint: figseam.HashEndpoint(DemandName(service)), WorkMillis: int(millis), Tokens: int(d.tokens.perSecond(now)),
-			})
-		}
+		rates := r.rooms.demands[service]
+		all = append(all, figseam.ServiceDemand{
+			Service: figseam.HashService(service), WaitingTokens: waiting, TimelyTokens: timely,
+			PrefillMillis: int(rates.prefill.perSecond(now)), DecodeTokens: int(rates.tokens.perSecond(now)),
+		})
 	}
 	return all
 }
 
-// QueueName names the endpoint that stands for a service's queue.
-func QueueName(service string) string { return "queue/" + service }
-
-// TimelyName names the endpoint that stands for the requests of a service's queue
-// that can still meet their target.
-func TimelyName(service string) string { return "timely/" + service }
+// SetOtherDemands tells what the requests of all other instances together ask for.
+func (r *Relayer) SetOtherDemands(all []figseam.ServiceDemand) {
+	r.others.mu.Lock()
+	defer r.others.mu.Unlock()
+	r.others.all, r.others.until = all, figseam.DeadlineAfterMillis(othersMillis)
+}
 
-// DemandName names the endpoint that stands for what a service's requests ask in a
-// second: WorkMillis of prefill, and memory for Tokens, each held for a second.
-func DemandName(service string) string { return "demand/" + service }
+// of returns what is asked of a service, nothing once it is too old.
+func (o *otherDemands) of(service string) figseam.ServiceDemand {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.until.Passed() {
+		return figseam.ServiceDemand{}
+	}
+	hash := figseam.HashService(service)
+	for _, d := range o.all {
+		if d.Service == hash {
+			return d
+		}
+	}
+	return figseam.ServiceDemand{}
+}
 
 // demand is what the requests of a service ask.
 type demand struct {
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -86,12 +86,12 @@
 }
 
 // ask exchanges a call that is no caller's request with an endpoint.
-func (t *task) ask(ctx context.Context, e figseam.ListedEndpoint, method, target string, body []byte) (int, []byte, error) {
+func (r *Relayer) ask(ctx context.Context, e figseam.ListedEndpoint, method, target string, body []byte) (int, []byte, error) {
 	header := http.Header{}
 	if len(body) > 0 {
 		header.Set("Content-Type", "application/json")
 	}
-	response, err := t.Connector.Do(ctx, connector.Request{
+	response, err := r.Connector.Do(ctx, connector.Request{
 		Address: e.Address, Method: method, Target: target, Host: e.Address, Header: header, Body: body,
 	})
 	if err != nil {
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -46,7 +46,8 @@
 	code := explainer.NoEndpoint
 	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
 	t.rooms.count(t.service, reading, t.expectedTokens(), t.stays.get())
-	prefilling := true
+	t.findKept(ctx)
+	prefilling := t.readAt == nil
 	for connects, began := 0, time.Now(); !connectsFail(connects, began); {
 		var seat *seat
 		seat, code = t.takeSeat(ctx)
@@ -69,11 +70,15 @@
 			break
 		}
 		code = t.decode(ctx, seat, source)
+		if code == explainer.ConnectionBroken && t.mayResume() {
+			code = t.resume(ctx, seat)
+		}
 		if code == "" {
 			return
 		}
 		if code == explainer.NotConnected {
 			t.drop(source)
+			prefilling = prefilling && source == nil
 			connects++
 			continue
 		}
@@ -137,6 +142,7 @@
 		p, code := t.prefillOnce(ctx, choice)
 		t.note(choice.Candidate.Endpoint, "prefill", choice, code, began)
 		if code == "" {
+			t.readAt = &p.engine
 			return p, ""
 		}
 		t.avoid[choice.Candidate.Endpoint.ID] = true
@@ -226,23 +232,33 @@
 // on. The code is empty if the request has ended.
 func (t *task) decode(ctx context.Context, seat *seat, source *prefilled) figseam.Code {
 	e := seat.choice.Candidate.Endpoint
-	began := time.Now()
-	s := &stream{task: t, endpoint: e, work: seat.work}
+	s := &stream{task: t, endpoint: e, work: seat.work, patienceMillis: firstEventMillis}
+	call := figseam.EndpointCall{Source: source.source(), Hold: seat.hold}
 	if source == nil {
+		call.Fetch = t.fetchFrom(e)
+	}
+	if source == nil && t.readAt == nil {
 		_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
 		s.reading = t.Board.Begin(e, selector.OwnReadingMillis(reading), 0)
 		defer s.hasRead()
 	}
-	code := s.run(ctx, figseam.EndpointCall{
-		Request: t.request, Endpoint: e, Stage: figseam.StageForDecode, Source: source.source(), Hold: seat.hold, Deadline: t.request.Deadline,
-	})
-	t.note(e, "decode", seat.choice, code, began)
+	code := t.stream(ctx, s, seat, call)
 	if code != "" {
 		t.avoid[e.ID] = true
 	}
 	if code != explainer.NotConnected {
 		t.sends++
 	}
+	return code
+}
+
+// stream makes a call to the engine of a seat and passes the answer on. The code is
+// empty if the request has ended.
+func (t *task) stream(ctx context.Context, s *stream, seat *seat, call figseam.EndpointCall) figseam.Code {
+	began := time.Now()
+	call.Request, call.Endpoint, call.Stage, call.Deadline = t.request, s.endpoint, figseam.StageForDecode, t.request.Deadline
+	code := s.run(ctx, call)
+	t.note(s.endpoint, "decode", seat.choice, code, began)
 	if code == "" {
 		t.stays.note(time.Since(seat.taken))
 		t.logEnd(levelOf(s.status), s.code, s.status)
@@ -267,7 +283,7 @@
 	}
 	e := choice.Candidate.Endpoint
 	began := time.Now()
-	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, callWorkMillis, 0)}
+	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, callWorkMillis, 0), patienceMillis: firstEventMillis}
 	code := s.run(ctx, figseam.EndpointCall{Request: t.request, Endpoint: e, Deadline: t.request.Deadline})
 	t.note(e, "stream", choice, code, began)
 	switch code {
@@ -288,7 +304,7 @@
 	if !s.route.Semantics.Repeatable() || s.sends+1 >= s.route.MaxAttempts || s.Budget.Left(s.service) < 1 {
 		return func() {}, func() {}
 	}
-	timer := time.AfterFunc(firstEventMillis*time.Millisecond, func() { cancel(errSilent) })
+	timer := time.AfterFunc(time.Duration(s.patienceMillis)*time.Millisecond, func() { cancel(errSilent) })
 	return func() { timer.Reset(gapMillis * time.Millisecond) }, func() { timer.Stop() }
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/explainer"
 	"github.com/figseam/figseam/lister"
+	"github.com/figseam/figseam/locator"
 	"github.com/figseam/figseam/matcher"
 	"github.com/figseam/figseam/queuer"
 	"github.com/figseam/figseam/selector"
@@ -63,15 +64,19 @@
 	index  atomic.Pointer[matcher.Index]
 	active atomic.Int64
 	rooms  rooms
+	others otherDemands
 	stays  stays
 	pace   selector.Pace
+	kept   *locator.Locator
 	// hasTable is closed when there is a first table.
 	hasTable chan struct{}
 }
 
 // New returns a relayer that refuses everything until it has a table.
 func New(settings Settings) *Relayer {
-	return &Relayer{Settings: settings, hasTable: make(chan struct{}), rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, demands: map[string]demand{}}}
+	r := &Relayer{Settings: settings, hasTable: make(chan struct{}), rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, demands: map[string]demand{}}}
+	r.kept = locator.New(r.askKept, r.noteUnasked)
+	return r
 }
 
 // SetTable puts a table in force if its version is higher.
@@ -125,6 +130,8 @@
 	// after its arrival its first event came.
 	waitedMillis     int64
 	firstEventMillis int64
+	// readAt is the engine that has read the prompt; nil for none.
+	readAt *figseam.ListedEndpoint
 	// refusals is how often engines had no memory to set aside.
 	refusals int
 }
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -190,7 +190,7 @@
 // yields reports whether the request, late already, leaves the room to those of
 // other instances that can still be in time.
 func (u *turn) yields() bool {
-	return u.waiting.Late(time.Now()) && u.Board.OtherTokens(TimelyName(u.service)) > 0
+	return u.waiting.Late(time.Now()) && u.others.of(u.service).TimelyTokens > 0
 }
 
 // givesClaimUp reports whether the request, late already, leaves its claim to those
@@ -208,7 +208,10 @@
 	if u.yields() {
 		return nil
 	}
-	choice, ok := u.choose(figseam.StageForDecode, u.DataCentre, u.need)
+	choice, ok := u.chooseKept(u.need)
+	if !ok {
+		choice, ok = u.choose(figseam.StageForDecode, u.DataCentre, u.need)
+	}
 	if !ok {
 		if !u.claims && !u.queue.Claim(&u.waiting) {
 			return nil
@@ -298,10 +301,10 @@
 	memory := t.memoryTokens()
 	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForDecode || t.avoid[e.ID] }
 	waiting, timely := queue.Tokens()
-	others, othersTimely := t.Board.OtherTokens(QueueName(t.service)), t.Board.OtherTokens(TimelyName(t.service))
+	others := t.others.of(t.service)
 	l := queuer.Load{
-		StayMillis: t.stays.get(), WaitingTokens: waiting + others,
-		TimelyTokens: min(waiting, timely) + min(others, othersTimely),
+		StayMillis: t.stays.get(), WaitingTokens: waiting + others.WaitingTokens,
+		TimelyTokens: min(waiting, timely) + min(others.WaitingTokens, others.TimelyTokens),
 	}
 	engines := 0
 	for _, c := range t.Board.Candidates(t.List.Service(t.service), skip, 0, memory) {
--- a/relayer/seating_test.go
+++ b/relayer/seating_test.go
@@ -102,7 +102,8 @@
 			service: {Name: service, Engine: &figseam.EngineTraits{MemoryTokens: 1000}},
 		}})
 		others := func(timely int) {
-			r.Board.SetOthers([]figseam.EndpointUse{{Endpoint: figseam.HashEndpoint(TimelyName(service)), Tokens: timely}})
+			r.SetOtherDemands([]figseam.ServiceDemand{{Service: figseam.HashService(service), TimelyTokens: timely}})
+			r.Board.SetOthers(nil)
 		}
 		ask := func(age time.Duration) (*seat, figseam.Code) {
 			u := &task{
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -28,8 +28,11 @@
 	work     *selector.Work
 	// reading is the prefill that the engine makes itself, nil when it is over.
 	reading *selector.Work
-	status  int
-	code    figseam.Code
+	// patienceMillis is how long the first event may take if the request may be sent
+	// elsewhere.
+	patienceMillis int64
+	status         int
+	code           figseam.Code
 }
 
 // run sends the request and passes events on until the stream is complete. The
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -176,11 +176,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, shareCallMillis*time.Millisecond)
 	defer cancel()
-	report := sharer.Report{Instance: e.settings.Self(), Uses: append(e.board.Own(), e.relayer.Demand()...)}
-	others, err := messenger.Call[sharer.Report, []figseam.EndpointUse](ctx, e.messenger, string(to), kindShare, report)
+	report := sharer.Report{Instance: e.settings.Self(), Load: sharer.Load{Uses: e.board.Own(), Demands: e.relayer.Demands()}}
+	others, err := messenger.Call[sharer.Report, sharer.Load](ctx, e.messenger, string(to), kindShare, report)
 	if err != nil {
 		e.log.Debug().Err(err).Str("keeper", string(to)).Msg("use of endpoints not shared")
 		return
 	}
-	e.board.SetOthers(others)
+	e.relayer.SetOtherDemands(others.Demands)
+	e.board.SetOthers(others.Uses)
 }
--- a/runner/staging.go
+++ b/runner/staging.go
@@ -12,7 +12,6 @@
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/keeper"
 	"github.com/figseam/figseam/platform"
-	"github.com/figseam/figseam/relayer"
 	"github.com/figseam/figseam/sharer"
 	"github.com/figseam/figseam/stager"
 )
@@ -90,13 +89,13 @@
 	if s.table == nil {
 		return
 	}
-	uses := s.sums.Total()
+	total := s.sums.Total()
 	for _, service := range s.list.Services() {
 		traits := s.table.Services[service].Engine
 		if traits == nil || traits.SwitchMillis <= 0 {
 			continue
 		}
-		if changes := stager.Decide(s.load(service, traits, uses)); len(changes) > 0 {
+		if changes := stager.Decide(s.load(service, traits, total)); len(changes) > 0 {
 			s.change(ctx, service, traits, changes)
 			return
 		}
@@ -122,10 +121,10 @@
 	s.table = table
 }
 
-func (s *stewardship) load(service string, traits *figseam.EngineTraits, uses sharer.Uses) stager.Load {
-	demand := uses.Of(relayer.DemandName(service))
+func (s *stewardship) load(service string, traits *figseam.EngineTraits, total *sharer.Total) stager.Load {
+	demand := total.Demand(service)
 	l := stager.Load{
-		MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.WorkMillis), DecodeTokens: float64(demand.Tokens),
+		MemoryTokens: traits.MemoryTokens, PrefillMillis: float64(demand.PrefillMillis), DecodeTokens: float64(demand.DecodeTokens),
 		Turnover: s.turnover(service),
 	}
 	for _, e := range s.list.Service(service) {
@@ -134,7 +133,7 @@
 		if away {
 			e.Stage, e.Leaving = c.stage, false
 		}
-		l.Engines = append(l.Engines, stager.Engine{Endpoint: e, Tokens: uses.Of(e.ID).Tokens, Away: away})
+		l.Engines = append(l.Engines, stager.Engine{Endpoint: e, Tokens: total.Use(e.ID).Tokens, Away: away})
 	}
 	return l
 }
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -72,7 +72,7 @@
 		return v.hub.Follow(ctx, r), nil
 	})
 	v.sums = sharer.New()
-	messenger.Handle(v.messenger, kindShare, func(_ context.Context, _ figseam.InstanceID, r sharer.Report) ([]figseam.EndpointUse, error) {
+	messenger.Handle(v.messenger, kindShare, func(_ context.Context, _ figseam.InstanceID, r sharer.Report) (sharer.Load, error) {
 		return v.sums.Exchange(r), nil
 	})
 	messenger.Handle(v.messenger, kindSum, func(_ context.Context, _ figseam.InstanceID, r sharer.Report) (nothing, error) {
@@ -183,12 +183,12 @@
 
 // share tells the other voters what the entries that report here have under way.
 func (v *Voter) share(context.Context) {
-	uses := v.sums.Local()
-	if len(uses) == 0 && !v.shared {
+	load := v.sums.Local()
+	if load.Empty() && !v.shared {
 		return
 	}
-	v.shared = len(uses) > 0
-	report := sharer.Report{Instance: v.settings.Self(), Uses: uses}
+	v.shared = !load.Empty()
+	report := sharer.Report{Instance: v.settings.Self(), Load: load}
 	for _, to := range v.members() {
 		if to != v.settings.Self() {
 			messenger.Send(v.messenger, string(to), kindSum, report)
--- a/selector/board.go
+++ b/selector/board.go
@@ -380,11 +380,3 @@
 	slices.Sort(values)
 	return values[(len(values)-1)/2]
 }
-
-// OtherTokens returns the tokens that other instances report for an endpoint.
-func (b *Board) OtherTokens(id string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	u, _ := b.otherUse(id, time.Now())
-	return u.Tokens
-}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,5 +1,5 @@
 // Package sharer tells instances what all of them together have under way at each
-// endpoint, a fraction of a second late.
+// endpoint, and what their requests ask of each service, a fraction of a second late.
 //
 // An entry reports to a voter and gets back the sum of all others. Voters tell
 // each other the sums of their own entries. A report that is not renewed is
@@ -16,10 +16,19 @@
 // reportMillis is how long a report counts.
 const reportMillis = 1500
 
-// Report is what one instance, or the entries of one voter, have under way.
+// Load is what instances have under way and what their requests ask for.
+type Load struct {
+	Uses    []figseam.EndpointUse   `cbor:"1,keyasint,omitempty"`
+	Demands []figseam.ServiceDemand `cbor:"2,keyasint,omitempty"`
+}
+
+// Empty reports whether nothing is under way.
+func (l Load) Empty() bool { return len(l.Uses) == 0 && len(l.Demands) == 0 }
+
+// Report is the load of one instance, or of the entries of one voter.
 type Report struct {
-	Instance figseam.InstanceID    `cbor:"1,keyasint"`
-	Uses     []figseam.EndpointUse `cbor:"2,keyasint,omitempty"`
+	Instance figseam.InstanceID `cbor:"1,keyasint"`
+	Load     Load               `cbor:"2,keyasint"`
 }
 
 // Sums adds reports up. It is safe for concurrent use.
@@ -31,7 +40,7 @@
 }
 
 type timed struct {
-	uses []figseam.EndpointUse
+	load Load
 	at   time.Time
 }
 
@@ -41,11 +50,11 @@
 }
 
 // Exchange takes an entry's report and returns the sum of all other entries.
-func (s *Sums) Exchange(r Report) []figseam.EndpointUse {
+func (s *Sums) Exchange(r Report) Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.entries[r.Instance] = timed{uses: r.Uses, at: time.Now()}
-	total := sum{}
+	s.entries[r.Instance] = timed{load: r.Load, at: time.Now()}
+	total := newTotal()
 	for i, t := range s.entries {
 		if i != r.Instance {
 			total.add(t)
@@ -54,73 +63,82 @@
 	for _, t := range s.voters {
 		total.add(t)
 	}
-	return total.list()
+	return total.load()
 }
 
 // Merge takes the sum of another voter's entries.
 func (s *Sums) Merge(r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.voters[r.Instance] = timed{uses: r.Uses, at: time.Now()}
+	s.voters[r.Instance] = timed{load: r.Load, at: time.Now()}
 }
 
 // Local returns the sum of the entries that report here.
-func (s *Sums) Local() []figseam.EndpointUse {
+func (s *Sums) Local() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := sum{}
+	total := newTotal()
 	for i, t := range s.entries {
 		if !total.add(t) {
 			delete(s.entries, i)
 		}
 	}
-	return total.list()
+	return total.load()
 }
 
-// Uses are what instances have under way, by the hash of the endpoint's ID.
-type Uses map[uint32]figseam.EndpointUse
-
-// Of returns the use of an endpoint.
-func (u Uses) Of(id string) figseam.EndpointUse { return u[figseam.HashEndpoint(id)] }
-
 // Total returns what all instances have under way.
-func (s *Sums) Total() Uses {
+func (s *Sums) Total() *Total {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := sum{}
+	total := newTotal()
 	for _, t := range s.entries {
 		total.add(t)
 	}
 	for _, t := range s.voters {
 		total.add(t)
 	}
-	return Uses(total)
+	return total
+}
+
+// Total is a sum of loads, by the hashes of endpoints' IDs and services' names.
+type Total struct {
+	uses    map[uint32]figseam.EndpointUse
+	demands map[uint32]figseam.ServiceDemand
 }
 
-// sum adds uses up by endpoint.
-type sum map[uint32]figseam.EndpointUse
+func newTotal() *Total {
+	return &Total{uses: map[uint32]figseam.EndpointUse{}, demands: map[uint32]figseam.ServiceDemand{}}
+}
+
+// Use returns the use of an endpoint.
+func (t *Total) Use(id string) figseam.EndpointUse { return t.uses[figseam.HashEndpoint(id)] }
+
+// Demand returns what is asked of a service.
+func (t *Total) Demand(service string) figseam.ServiceDemand {
+	return t.demands[figseam.HashService(service)]
+}
 
 // add adds a report unless it is too old.
-func (s sum) add(t timed) bool {
-	if time.Since(t.at) > reportMillis*time.Millisecond {
+func (t *Total) add(report timed) bool {
+	if time.Since(report.at) > reportMillis*time.Millisecond {
 		return false
 	}
-	for _, u := range t.uses {
-		total := s[u.Endpoint]
-		total.Endpoint = u.Endpoint
-		total.Requests += u.Requests
-		total.WorkMillis += u.WorkMillis
-		total.Tokens += u.Tokens
-		total.Unreached += u.Unreached
-		s[u.Endpoint] = total
+	for _, u := range report.load.Uses {
+		t.uses[u.Endpoint] = t.uses[u.Endpoint].Plus(u)
+	}
+	for _, d := range report.load.Demands {
+		t.demands[d.Service] = t.demands[d.Service].Plus(d)
 	}
 	return true
 }
 
-func (s sum) list() []figseam.EndpointUse {
-	all := make([]figseam.EndpointUse, 0, len(s))
-	for _, u := range s {
-		all = append(all, u)
+func (t *Total) load() Load {
+	var l Load
+	for _, u := range t.uses {
+		l.Uses = append(l.Uses, u)
+	}
+	for _, d := range t.demands {
+		l.Demands = append(l.Demands, d)
 	}
-	return all
+	return l
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -11,16 +11,25 @@
 	"github.com/figseam/figseam/sharer"
 )
 
-func uses(tokens int) []figseam.EndpointUse {
-	return []figseam.EndpointUse{{Endpoint: figseam.HashEndpoint("e"), Requests: 1, Tokens: tokens}}
+// load is a load whose parts are all so large.
+func load(tokens int) sharer.Load {
+	return sharer.Load{
+		Uses:    []figseam.EndpointUse{{Endpoint: figseam.HashEndpoint("e"), Requests: 1, Tokens: tokens}},
+		Demands: []figseam.ServiceDemand{{Service: figseam.HashService("s"), WaitingTokens: tokens}},
+	}
 }
 
-func tokens(all []figseam.EndpointUse) int {
-	n := 0
-	for _, u := range all {
-		n += u.Tokens
+// tokens returns how large all parts of a load are; they must agree.
+func tokens(t *testing.T, l sharer.Load) int {
+	used, waiting := 0, 0
+	for _, u := range l.Uses {
+		used += u.Tokens
+	}
+	for _, d := range l.Demands {
+		waiting += d.WaitingTokens
 	}
-	return n
+	require.Equal(t, used, waiting)
+	return used
 }
 
 // TestEachInstanceLearnsOfTheOthers holds that an instance never gets its own part
@@ -28,16 +37,17 @@
 func TestEachInstanceLearnsOfTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := sharer.New()
-		require.Zero(t, tokens(s.Exchange(sharer.Report{Instance: "a", Uses: uses(10)})))
-		require.Equal(t, 10, tokens(s.Exchange(sharer.Report{Instance: "b", Uses: uses(200)})))
-		s.Merge(sharer.Report{Instance: "voter 2", Uses: uses(3000)})
-		require.Equal(t, 3200, tokens(s.Exchange(sharer.Report{Instance: "a", Uses: uses(11)})))
-		require.Equal(t, 211, tokens(s.Local()))
-		require.Equal(t, 3211, s.Total().Of("e").Tokens)
+		require.Zero(t, tokens(t, s.Exchange(sharer.Report{Instance: "a", Load: load(10)})))
+		require.Equal(t, 10, tokens(t, s.Exchange(sharer.Report{Instance: "b", Load: load(200)})))
+		s.Merge(sharer.Report{Instance: "voter 2", Load: load(3000)})
+		require.Equal(t, 3200, tokens(t, s.Exchange(sharer.Report{Instance: "a", Load: load(11)})))
+		require.Equal(t, 211, tokens(t, s.Local()))
+		require.Equal(t, 3211, s.Total().Use("e").Tokens)
+		require.Equal(t, 3211, s.Total().Demand("s").WaitingTokens)
 		time.Sleep(1200 * time.Millisecond)
-		s.Exchange(sharer.Report{Instance: "a", Uses: uses(11)})
+		s.Exchange(sharer.Report{Instance: "a", Load: load(11)})
 		time.Sleep(1200 * time.Millisecond)
-		require.Equal(t, 11, tokens(s.Local()))
-		require.Zero(t, tokens(s.Exchange(sharer.Report{Instance: "a"})))
+		require.Equal(t, 11, tokens(t, s.Local()))
+		require.Zero(t, tokens(t, s.Exchange(sharer.Report{Instance: "a"})))
 	})
 }
--- a/table.go
+++ b/table.go
@@ -154,5 +154,38 @@
 	Unreached int `cbor:"5,keyasint,omitempty"`
 }
 
+// Plus returns the sum of two uses of an endpoint.
+func (u EndpointUse) Plus(v EndpointUse) EndpointUse {
+	return EndpointUse{
+		Endpoint: v.Endpoint, Requests: u.Requests + v.Requests, WorkMillis: u.WorkMillis + v.WorkMillis,
+		Tokens: u.Tokens + v.Tokens, Unreached: u.Unreached + v.Unreached,
+	}
+}
+
 // HashEndpoint returns the hash by which an endpoint is named in messages.
 func HashEndpoint(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// ServiceDemand is what requests ask of a service's engines.
+type ServiceDemand struct {
+	// Service is the hash of the service's name.
+	Service uint32 `cbor:"1,keyasint"`
+	// WaitingTokens is the memory for which requests wait without a claim, TimelyTokens
+	// that for which requests wait that can still meet their target.
+	WaitingTokens int `cbor:"2,keyasint,omitempty"`
+	TimelyTokens  int `cbor:"3,keyasint,omitempty"`
+	// PrefillMillis is how much prefill comes in a second, DecodeTokens the memory that
+	// what comes in a second holds for a second.
+	PrefillMillis int `cbor:"4,keyasint,omitempty"`
+	DecodeTokens  int `cbor:"5,keyasint,omitempty"`
+}
+
+// Plus returns the sum of two demands for a service.
+func (d ServiceDemand) Plus(e ServiceDemand) ServiceDemand {
+	return ServiceDemand{
+		Service: e.Service, WaitingTokens: d.WaitingTokens + e.WaitingTokens, TimelyTokens: d.TimelyTokens + e.TimelyTokens,
+		PrefillMillis: d.PrefillMillis + e.PrefillMillis, DecodeTokens: d.DecodeTokens + e.DecodeTokens,
+	}
+}
+
+// HashService returns the hash by which a service is named in messages.
+func HashService(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- a/wire.go
+++ b/wire.go
@@ -77,6 +77,9 @@
 	Source string
 	// Hold names the memory that is set aside for the request; empty for none.
 	Hold string
+	// Fetch is the address of an engine that may still keep the prompt, from which
+	// the endpoint takes what it lacks; empty for none.
+	Fetch string
 	// Deadline is when the endpoint is to stop.
 	Deadline Deadline
 }
@@ -125,6 +128,10 @@
 	DecodeHold(body []byte) (string, error)
 	// DropHoldPath returns the target of the DELETE that gives it back.
 	DropHoldPath(hold string) string
+	// KeptPath is the target of the GET that lists the parts of prompts that an
+	// engine keeps, and DecodeKept reads its answer.
+	KeptPath() string
+	DecodeKept(body []byte) ([]PromptPart, error)
 	// RequestIDHeader is the name of the header with the request's ID.
 	RequestIDHeader() string
 }
