selector: generations stay in their data centre and leave room for large ones

Change: an engine elsewhere is chosen if it is emptier by half; among those with room the one with least memory left. A request that waits still claims the emptiest. Who is better off: callers with large prompts; callers whose instance is cut off from the other data centres.

--- a/selector/board.go
+++ b/selector/board.go
@@ -340,6 +340,7 @@
 		used := r.tokens + others.Tokens
 		c.FillShare = float64(used) / float64(memory)
 		full := used > 0 && float64(used+need) > memoryFill*float64(memory)
+		c.Packs = need > 0
 		c.Full = need > 0 && (full || now.Before(r.fullUntil))
 	}
 	c.FailureShare = fade(r.failure, now.Sub(r.failureAt), failureFadeMillis)
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -11,8 +11,10 @@
 	// farMillis is what an endpoint in another data centre is charged: the longer
 	// way there, and the bytes between data centres.
 	farMillis = 10
-	// fillMillis is charged for a full memory: the more requests an engine runs,
-	// the longer each token takes.
+	// farDecodeMillis is the same for a generation, which lasts for seconds and breaks
+	// when the data centres lose each other.
+	farDecodeMillis = 150
+	// fillMillis is the charge for a whole engine's memory.
 	fillMillis = 300
 	// failureMillis is charged in proportion to the share of failures beyond that
 	// of the service.
@@ -59,6 +61,9 @@
 	// Unreached tells that other instances could not reach the endpoint a moment ago,
 	// more of them than have requests under way there.
 	Unreached bool
+	// Packs tells that the request is to be placed where least memory is left; otherwise
+	// it goes where most is.
+	Packs bool
 	// Full tells that no place is free.
 	Full bool
 }
@@ -128,9 +133,9 @@
 }
 
 func charge(c Candidate, home figseam.DataCentre, usual float64) float64 {
-	millis := c.WorkMillis + c.FillShare*fillMillis
+	millis := c.WorkMillis + memoryMillis(c)
 	if c.Endpoint.DataCentre != home {
-		millis += farMillis
+		millis += wayMillis(c.Endpoint.Stage)
 		if c.Doubtful {
 			millis += doubtMillis
 		}
@@ -144,6 +149,26 @@
 	return millis
 }
 
+// memoryMillis returns the charge for the memory that is in use. A generation goes where
+// least is left, so that large ones find room elsewhere; one that waits for memory goes
+// where most is.
+//
+// Load pattern: bursts of small and large prompts on engines that are nearly full.
+func memoryMillis(c Candidate) float64 {
+	if c.Packs {
+		return (1 - c.FillShare) * fillMillis
+	}
+	return c.FillShare * fillMillis
+}
+
+// wayMillis returns the charge for an endpoint in another data centre.
+func wayMillis(stage figseam.EndpointStage) float64 {
+	if stage == figseam.StageForDecode {
+		return farDecodeMillis
+	}
+	return farMillis
+}
+
 // usualFailures returns the median share of failures.
 func usualFailures(candidates []Candidate) float64 {
 	shares := make([]float64, 0, len(candidates))
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -16,6 +16,12 @@
 	return figseam.ListedEndpoint{ID: id, Address: id, DataCentre: centre, Service: "s"}
 }
 
+func decode(id string, centre figseam.DataCentre) figseam.ListedEndpoint {
+	e := at(id, centre)
+	e.Stage = figseam.StageForDecode
+	return e
+}
+
 func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
 
 func TestChoose(t *testing.T) {
@@ -30,6 +36,15 @@
 		{"least work", []selector.Candidate{{Endpoint: at("a", "here"), WorkMillis: 40}, {Endpoint: at("b", "here"), WorkMillis: 10}}, "b", selector.ReasonLeastWork},
 		{"near before far", []selector.Candidate{{Endpoint: at("a", "there")}, {Endpoint: at("b", "here")}}, "b", selector.ReasonLeastWork},
 		{"far before busy", []selector.Candidate{{Endpoint: at("a", "there")}, {Endpoint: at("b", "here"), WorkMillis: 100}}, "a", selector.ReasonLeastWork},
+		{
+			"a generation stays near",
+			[]selector.Candidate{{Endpoint: decode("a", "there"), FillShare: 0.5}, {Endpoint: decode("b", "here"), FillShare: 0.9}}, "b", selector.ReasonLeastWork,
+		},
+		{
+			"a generation goes far before it waits",
+			[]selector.Candidate{{Endpoint: decode("a", "there")}, {Endpoint: decode("b", "here"), Full: true}}, "a", selector.ReasonLeastWork,
+		},
+		{"least memory left", []selector.Candidate{{Endpoint: at("a", "here"), FillShare: 0.5, Packs: true}, {Endpoint: at("b", "here"), FillShare: 0.8, Packs: true}}, "b", selector.ReasonLeastWork},
 		{"emptier memory", []selector.Candidate{{Endpoint: at("a", "here"), FillShare: 0.8}, {Endpoint: at("b", "here"), FillShare: 0.5}}, "b", selector.ReasonLeastWork},
 		{"full is left out", []selector.Candidate{{Endpoint: at("a", "here"), Full: true}, {Endpoint: at("b", "here"), WorkMillis: 900}}, "b", selector.ReasonLeastWork},
 		{"resting is left alone while others are full", []selector.Candidate{resting, {Endpoint: at("b", "here"), Full: true}}, "", ""},
