soaker, loader: the links between instances are harmed as well

Cause: the soak harmed links to callers and endpoints only; what instances tell each other went untouched, so cut, silent and slow links within the group were left to the tests in virtual time. Change: peers_listen, an optional setting, lets an instance listen elsewhere than where its peers reach it; the soak puts a proxy between.

--- a/cmd/figload/soak.go
+++ b/cmd/figload/soak.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"time"
 
 	"github.com/figseam/figseam/platform/soaker"
 )
@@ -39,7 +38,7 @@
 			return err
 		}
 		report, err := soaker.Run(context.Background(), soaker.Options{
-			Daemon: *daemon, Folder: at, Seed: seed, Faulty: time.Duration(*seconds * float64(time.Second)), Out: errs,
+			Daemon: *daemon, Folder: at, Seed: seed, FaultSeconds: *seconds, Out: errs,
 		})
 		if err != nil {
 			return fmt.Errorf("seed %d, logs in %s: %w", seed, at, err)
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -24,6 +24,9 @@
 	Operators string `json:"operators,omitempty"`
 	Peers     string `json:"peers"`
 	Metrics   string `json:"metrics"`
+	// PeersListen is where the instance listens for its peers if that is not the address
+	// at which they reach it, for example behind a forwarded port.
+	PeersListen string `json:"peers_listen,omitempty"`
 	// Seeds are operators' addresses of voters. Peers listen on the same port on
 	// every instance, so only the host counts.
 	Seeds []string `json:"seeds"`
@@ -90,6 +93,9 @@
 	} else {
 		addresses = append(addresses, struct{ field, address string }{"callers", s.Callers}, struct{ field, address string }{"readiness", s.Readiness})
 	}
+	if s.PeersListen != "" {
+		addresses = append(addresses, struct{ field, address string }{"peers_listen", s.PeersListen})
+	}
 	for _, f := range addresses {
 		c.address(f.field, f.address)
 	}
@@ -123,6 +129,14 @@
 // Self returns the name under which other instances reach this one.
 func (s RelaySettings) Self() figseam.InstanceID { return figseam.InstanceID(s.Peers) }
 
+// PeersAt returns the address on which the instance listens for its peers.
+func (s RelaySettings) PeersAt() string {
+	if s.PeersListen != "" {
+		return s.PeersListen
+	}
+	return s.Peers
+}
+
 // Voters returns the peer addresses of the seeds.
 func (s RelaySettings) Voters() []figseam.InstanceID {
 	_, port, err := net.SplitHostPort(s.Peers)
--- a/loader/relay_test.go
+++ b/loader/relay_test.go
@@ -23,6 +23,10 @@
 	require.Empty(t, faults)
 	require.Equal(t, figseam.InstanceID("10.0.0.1:7000"), s.Self())
 	require.Equal(t, []figseam.InstanceID{"10.0.0.2:7000", "10.0.0.3:7000"}, s.Voters())
+	require.Equal(t, "10.0.0.1:7000", s.PeersAt())
+	s.PeersListen = "10.0.0.1:7001"
+	require.Equal(t, "10.0.0.1:7001", s.PeersAt())
+	require.Equal(t, figseam.InstanceID("10.0.0.1:7000"), s.Self())
 }
 
 func TestFaultyRelaySettings(t *testing.T) {
@@ -34,6 +38,7 @@
 		{"unknown field", `"instance"`, `"instances": 1, "instance"`, false, `entry.json:2: field "instances"`},
 		{"missing field", `"memory_mb": 134, `, ``, false, `field "memory_mb"`},
 		{"no address", `"10.0.0.1:80"`, `"here"`, false, `entry.json:3: field "callers"`},
+		{"no address to listen on", `"metrics"`, `"peers_listen": "here", "metrics"`, false, `entry.json:3: field "peers_listen"`},
 		{"seed that is no address", `"10.0.0.3:90"`, `"10.0.0.3"`, false, `entry.json:4: field "seeds"`},
 		{"impossible share", `"retry_share": 0.2`, `"retry_share": 2`, false, `entry.json:6: field "retry_share"`},
 		{"wrong type", `"grace_s": 8`, `"grace_s": "8"`, false, `entry.json:5: field "grace_s"`},
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -119,7 +119,7 @@
 		stop()
 		<-recorded
 	}()
-	listeners, err := listenAll(e.settings.Callers, e.settings.Readiness, e.settings.Peers, e.settings.Metrics)
+	listeners, err := listenAll(e.settings.Callers, e.settings.Readiness, e.settings.PeersAt(), e.settings.Metrics)
 	if err != nil {
 		return err
 	}
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -82,7 +82,7 @@
 func (b *base) servePeers(listeners map[string]net.Listener) {
 	peers := http.NewServeMux()
 	peers.Handle(messenger.Path, b.messenger.Handler())
-	b.serve(listeners[b.settings.Peers], peers)
+	b.serve(listeners[b.settings.PeersAt()], peers)
 	b.serve(listeners[b.settings.Metrics], b.meter.Handler())
 }
 
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -162,7 +162,7 @@
 		stop()
 		<-recorded
 	}()
-	listeners, err := listenAll(v.settings.Operators, v.settings.Peers, v.settings.Metrics)
+	listeners, err := listenAll(v.settings.Operators, v.settings.PeersAt(), v.settings.Metrics)
 	if err != nil {
 		return err
 	}
