--- a/relayer/kept.go
+++ b/relayer/kept.go
@@ -46,6 +46,14 @@
 	return c.Endpoint.Address
 }
 
+// promptAt returns the ID of the engine that has read the prompt; empty for none.
+func (t *task) promptAt() string {
+	if t.readAt == nil {
+		return ""
+	}
+	return t.readAt.ID
+}
+
 // candidate returns what is believed of an engine that has room for so many tokens. It
 // reports false for one that is unknown, full or rests.
 func (t *task) candidate(id string, need int) (selector.Candidate, bool) {
