selector: many instances that share prefill engines each compare a random few

All the while the prompt's request holds memory of a decode engine, which is what binds. Change: with three and more choices of others within the age of the reports, an instance compares a random part of the engines, one over the number of choices. Who is better off: everybody in a burst.

--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -21,6 +21,8 @@
 	// elsewhere may take, and gapMillis the time between two events.
 	firstEventMillis = 2000
 	gapMillis        = 2000
+	// hearsayMillis is how long it takes until an instance hears what others began.
+	hearsayMillis = 100
 	// handleMarginMillis is how long before its end a prefill's result counts as
 	// gone.
 	handleMarginMillis = 100
@@ -128,7 +130,7 @@
 // a call that broke, since only calls that were refused are known to be over.
 func (t *task) prefill(ctx context.Context, seat *seat) (*prefilled, figseam.Code) {
 	for {
-		choice, ok := t.choose(figseam.StageForPrefill, seat.choice.Candidate.Endpoint.DataCentre, 0)
+		choice, ok := t.choosePrefill(seat.choice.Candidate.Endpoint.DataCentre)
 		if !ok {
 			return nil, explainer.NoEndpoint
 		}
@@ -160,6 +162,24 @@
 	}
 }
 
+// choosePrefill returns a good engine to read the prompt.
+func (t *task) choosePrefill(home figseam.DataCentre) (selector.Choice, bool) {
+	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForPrefill || t.avoid[e.ID] }
+	candidates := t.Board.Candidates(t.List.Service(t.service), skip, 0, t.memoryTokens())
+	random := randomSource()
+	return selector.Choose(selector.Sample(candidates, t.otherPrefills(), random), home, random)
+}
+
+// otherPrefills returns how many prefills other instances begin before this one hears
+// of them.
+func (t *task) otherPrefills() float64 {
+	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
+	if reading <= 0 {
+		return 0
+	}
+	return float64(t.others.of(t.service).PrefillMillis) / reading * hearsayMillis / 1000
+}
+
 // ownPrefill has the decode engine of the seat read the prompt if it is done sooner
 // than the best prefill engine.
 func (t *task) ownPrefill(s *seat, c selector.Choice) bool {
--- a/selector/placement_test.go
+++ b/selector/placement_test.go
@@ -107,3 +107,107 @@
 	}
 	require.Less(t, float64(crossing)/float64(streams), 0.25, "placed anywhere, two of three cross")
 }
+
+// prefillCall is a prompt that an engine reads: others hear of it a moment after it
+// began, and until it has ended.
+type prefillCall struct{ began, ends int }
+
+// prefillFleet is a fleet of prefill engines in three data centres.
+type prefillFleet struct {
+	random *rand.Rand
+	calls  [][]prefillCall
+	freeAt []int
+}
+
+const (
+	readingMillis = 125
+	// fixedMillis passes in every call while the engine may read other prompts.
+	fixedMillis = 93
+	// hearsayMillis is how late instances hear of each other's calls.
+	hearsayMillis = 100
+)
+
+// heard returns the candidates as an instance sees them at a time.
+func (f *prefillFleet) heard(now int) []selector.Candidate {
+	var candidates []selector.Candidate
+	for i, calls := range f.calls {
+		n := 0
+		for _, c := range calls {
+			if c.began <= now-hearsayMillis && c.ends > now-hearsayMillis {
+				n++
+			}
+		}
+		candidates = append(candidates, selector.Candidate{Endpoint: at(fmt.Sprint(i), centreOf(i)), WorkMillis: float64(n * readingMillis)})
+	}
+	return candidates
+}
+
+// read has an engine read a prompt and returns how long that waits for others.
+func (f *prefillFleet) read(engine, now int) int {
+	wait := max(0, f.freeAt[engine]-now)
+	f.freeAt[engine] = now + wait + readingMillis
+	call := prefillCall{began: now, ends: now + wait + readingMillis + fixedMillis}
+	f.calls[engine] = append(f.calls[engine], call)
+	if old := f.calls[engine]; old[0].ends < now-hearsayMillis {
+		f.calls[engine] = old[1:]
+	}
+	return wait
+}
+
+// TestManyInstancesDoNotChooseTheSameEngine replays dozens of instances that place
+// prefills by what they hear of each other a moment late. If each compares all engines,
+// all choose the one that seems idle.
+func TestManyInstancesDoNotChooseTheSameEngine(t *testing.T) {
+	const engines, pauseMillis, prompts = 15, 16, 20_000
+	meanWait := func(others float64) float64 {
+		f := &prefillFleet{random: source(), calls: make([][]prefillCall, engines), freeAt: make([]int, engines)}
+		waited := 0
+		now := 0
+		for range prompts {
+			now += f.random.IntN(2 * pauseMillis)
+			choice, ok := selector.Choose(selector.Sample(f.heard(now), others, f.random), centreOf(f.random.IntN(3)), f.random)
+			require.True(t, ok)
+			var engine int
+			_, _ = fmt.Sscan(choice.Candidate.Endpoint.ID, &engine)
+			waited += f.read(engine, now)
+		}
+		return float64(waited) / prompts
+	}
+	all, some := meanWait(0), meanWait(hearsayMillis/pauseMillis)
+	t.Logf("wait for other prompts: %.0f ms if all are compared, %.0f ms if some are", all, some)
+	require.Less(t, some, 0.8*all)
+}
+
+func TestSample(t *testing.T) {
+	resting := selector.Candidate{Endpoint: at("resting", "here"), InRow: 3, SinceFailureMillis: 10}
+	well := make([]selector.Candidate, 12)
+	for i := range well {
+		well[i] = selector.Candidate{Endpoint: at(fmt.Sprint(i), "here")}
+	}
+	tests := []struct {
+		name       string
+		candidates []selector.Candidate
+		others     float64
+		want       int
+	}{
+		{"nobody else", well, 0, 12},
+		{"few others", well, 2.9, 12},
+		{"some others", well, 3, 3},
+		{"many others", well, 100, 2},
+		{"one is left", []selector.Candidate{well[0], resting}, 100, 2},
+		{"all rest", []selector.Candidate{resting, resting}, 100, 2},
+		{"those that rest are left out", append([]selector.Candidate{resting, resting}, well...), 5, 2},
+		{"none", nil, 5, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got := selector.Sample(test.candidates, test.others, source())
+			require.Len(t, got, test.want)
+			if len(got) < len(test.candidates) {
+				for _, c := range got {
+					require.False(t, selector.Rests(c))
+				}
+			}
+		})
+	}
+}
--- a/selector/reading.go
+++ b/selector/reading.go
@@ -1,6 +1,11 @@
 package selector
 
-import "github.com/figseam/figseam"
+import (
+	"math"
+	"math/rand/v2"
+
+	"github.com/figseam/figseam"
+)
 
 const (
 	// ReasonOwnPrefill is the reason why a decode engine reads the prompt itself.
@@ -26,5 +31,34 @@
 	return queuedMillis+readingMillis > ownReadingFactor*readingMillis+ownMillis+ownReadingMillis
 }
 
+const (
+	// fewestSampled is how many engines are compared at least.
+	fewestSampled = 2
+	// fewOthers is up to how many choices of others all engines are compared: with few,
+	// the loss by a worse engine outweighs that by a shared one.
+	fewOthers = 3
+)
+
+// Sample returns a random part of the candidates that do not rest, all of them if
+// few others choose at the same time. others is how many choices other instances make
+// before this one hears of them: were all to compare every engine, they would choose the
+// same one, which seems idle to each of them.
+//
+// Load pattern: dozens of instances that share prefill engines.
+func Sample(candidates []Candidate, others float64, random *rand.Rand) []Candidate {
+	var well []Candidate
+	for _, c := range candidates {
+		if !Rests(c) && !c.Full {
+			well = append(well, c)
+		}
+	}
+	n := max(fewestSampled, int(math.Round(float64(len(well))/(1+others))))
+	if others < fewOthers || n >= len(well) {
+		return candidates
+	}
+	random.Shuffle(len(well), func(i, j int) { well[i], well[j] = well[j], well[i] })
+	return well[:n]
+}
+
 // OwnReadingMillis returns how long a decode engine takes for a prompt.
 func OwnReadingMillis(readingMillis float64) float64 { return ownReadingFactor * readingMillis }
