figctl: trace tells the story of a request from the logs of several instances

Cause: from a complaint's request ID to its cause an operator had to join lines of several files by hand, and lines had times in whole seconds, so that their order was lost. Log times have milliseconds.

--- a/cmd/figctl/main.go
+++ b/cmd/figctl/main.go
@@ -58,6 +58,7 @@
 	{"endpoints", "", "list endpoints and their states", runEndpoints},
 	{"status", "", "show one instance and its replica", runStatus},
 	{"explain", "CODE", "explain a reason code; without one, list them", runExplain},
+	{"trace", "ID FILE…", "tell the story of a request from log files", runTrace},
 	{"drain", "", "let the instance leave in order", runDrain},
 }
 
--- a/cmd/figctl/main_test.go
+++ b/cmd/figctl/main_test.go
@@ -115,3 +115,22 @@
 	require.Equal(t, exitOK, exit)
 	require.Empty(t, out)
 }
+
+func TestTrace(t *testing.T) {
+	log := objects(t, `{"instance":"front-1","request":"r1","code":"no_room","status":503,"ms":2500,"waited_ms":2499,"input_tokens":9,`+
+		`"steps":[{"endpoint":"e1","stage":"hold","reason":"least_work","charge_ms":3.5,"result":"not_connected","ms":100}],`+
+		`"time":"2026-12-04T10:00:04.000Z","message":"request ended"}`+"\n")
+	exit, out, _ := invoke(t, "trace", "r1", log)
+	require.Equal(t, exitOK, exit)
+	require.Contains(t, out, "10:00:01.500 front-1")
+	require.Contains(t, out, "hold at e1 (least_work, charged 4 ms): not_connected after 100 ms")
+	require.Contains(t, out, "What to do:")
+	exit, _, errs := invoke(t, "trace", "r2", log)
+	require.Equal(t, exitFailed, exit)
+	require.Contains(t, errs, "no line tells of the end of request r2")
+	exit, _, _ = invoke(t, "trace")
+	require.Equal(t, exitUsage, exit)
+	exit, _, errs = invoke(t, "trace", "r1", "no-such-file")
+	require.Equal(t, exitFailed, exit)
+	require.Contains(t, errs, "no-such-file")
+}
--- a/cmd/figseamd/main.go
+++ b/cmd/figseamd/main.go
@@ -10,6 +10,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/rs/zerolog"
+
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/decoder"
 	"github.com/figseam/figseam/loader"
@@ -49,6 +51,7 @@
 		flags.Usage()
 		return exitUsage
 	}
+	zerolog.TimeFieldFormat = runner.LogTimeFormat
 	switch *role {
 	case "":
 		return runInstance(*file, *check, out, errs)
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -57,6 +57,10 @@
 	return b
 }
 
+// LogTimeFormat is the form of times in log lines: of several instances, they are only
+// put in order by milliseconds.
+const LogTimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // readList makes the instance's list, which it reads itself once the reading is
 // older than wanted.
 func (b *base) readList(wanted func() time.Duration) {
--- a/version.go
+++ b/version.go
@@ -1,4 +1,4 @@
 package figseam
 
 // Version is the version of the programs.
-const Version = "0.1.0"
+const Version = "0.3.0"
