--- a/relayer/answering.go
+++ b/relayer/answering.go
@@ -56,6 +56,18 @@
 	t.refuse(http.StatusServiceUnavailable, code)
 }
 
+// conclude ends a request that got no answer.
+func (t *task) conclude(code figseam.Code) {
+	switch code {
+	case explainer.CallerGone:
+		t.gone()
+	case explainer.DeadlinePassed:
+		t.expire()
+	default:
+		t.fail(code)
+	}
+}
+
 // expire ends a request at its deadline.
 func (t *task) expire() {
 	if t.mayHaveRun {
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -70,14 +70,11 @@
 			break
 		}
 	}
-	switch {
-	case failed != nil:
+	if failed != nil {
 		t.write(*failed, explainer.AnsweredFailure)
-	case code == explainer.DeadlinePassed:
-		t.expire()
-	default:
-		t.fail(code)
+		return
 	}
+	t.conclude(code)
 }
 
 // chooseAgain returns the best endpoint, which is one that was tried before if all
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -22,14 +22,8 @@
 	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
 	t.rooms.count(t.service, reading, t.expectedTokens(), t.stays.get())
 	t.findKept(ctx)
-	switch code := t.generateOn(ctx); code {
-	case "":
-	case explainer.CallerGone:
-		t.gone()
-	case explainer.DeadlinePassed:
-		t.expire()
-	default:
-		t.fail(code)
+	if code := t.generateOn(ctx); code != "" {
+		t.conclude(code)
 	}
 }
 
@@ -165,16 +159,11 @@
 	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, callWorkMillis, 0), patienceMillis: firstEventMillis}
 	code := s.run(ctx, figseam.EndpointCall{Request: t.request, Endpoint: e, Deadline: t.request.Deadline})
 	t.note(e, "stream", choice, code, began)
-	switch code {
-	case "":
-		t.logEnd(levelOf(s.status), s.code, s.status)
-	case explainer.CallerGone:
-		t.gone()
-	case explainer.DeadlinePassed:
-		t.expire()
-	default:
-		t.fail(code)
+	if code != "" {
+		t.conclude(code)
+		return
 	}
+	t.logEnd(levelOf(s.status), s.code, s.status)
 }
 
 // watch ends a sending that may be repeated elsewhere when nothing comes for too
