relayer, locator: the field's word for cached prompts; at most 160 engines are asked for one

The code spoke of prompts that engines keep; the usual word is cached. The log's reason is cached, its field cached_at. A caller that comes back made its instance ask every engine of the service, which does not carry to thousands of engines: now 160 at most, those of the own data centre first.

--- a/cmd/figctl/tracer/tracer.go
+++ b/cmd/figctl/tracer/tracer.go
@@ -53,7 +53,7 @@
 	FirstEvent int64     `json:"first_event_ms"`
 	Version    uint64    `json:"version"`
 	ListAge    int64     `json:"list_age_ms"`
-	PromptAt   string    `json:"prompt_at"`
+	CachedAt   string    `json:"cached_at"`
 	LastEvent  int64     `json:"last_event"`
 	Input      int       `json:"input_tokens"`
 	Output     int       `json:"output_tokens"`
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -1,10 +1,10 @@
-// Package locator finds the engines that still keep a prompt.
+// Package locator finds the engines that have a prompt in their cache.
 //
 // Load pattern: callers that come back for the rest of a stream after an instance
-// crashed, or all of them lost power. The engines gave the memory of those streams
-// free but still keep most of it, so nothing needs to be read again where a request
-// goes to such an engine, or has the prompt fetched from there. Nobody remembers which
-// engine that is, so the engines are asked.
+// crashed, or all of them lost power. Engines evict what those streams left only when
+// the memory is needed, so nothing has to be read again where a request goes to such an
+// engine, or has the prompt fetched from there. Nobody remembers which engine that is,
+// so the engines are asked.
 package locator
 
 import (
@@ -16,13 +16,13 @@
 )
 
 const (
-	// validMillis is how long what an engine said it keeps is believed.
+	// validMillis is how long what an engine said of its cache is believed.
 	validMillis = 500
 	// askMillis bounds the question to an engine.
 	askMillis = 150
 )
 
-// Ask returns the parts of prompts that an engine keeps.
+// Ask returns the parts of prompts that an engine has cached.
 type Ask func(ctx context.Context, e figseam.ListedEndpoint) ([]figseam.PromptPart, error)
 
 // Locator keeps what engines said of their caches. It is safe for concurrent use.
@@ -35,7 +35,7 @@
 	answers map[string]*answer
 }
 
-// answer is what an engine keeps, by the ID of the part. It is complete once done is
+// answer is what an engine has cached, by the ID of the part. It is complete once done is
 // closed.
 type answer struct {
 	until figseam.Deadline
@@ -49,7 +49,7 @@
 	return &Locator{ask: ask, failed: failed, answers: map[string]*answer{}}
 }
 
-// Find returns those of the engines that keep a part. It asks the engines of which it
+// Find returns those of the engines that have a part cached. It asks the engines of which it
 // knows nothing recent, all at once, and passes over those that do not answer in time.
 func (l *Locator) Find(ctx context.Context, engines []figseam.ListedEndpoint, part string) []figseam.ListedEndpoint {
 	l.forget()
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -17,15 +17,15 @@
 // engines are stand-ins that say what they keep.
 type engines struct {
 	// mu guards everything below.
-	mu    sync.Mutex
-	kept  map[string][]string
-	asked map[string]int
+	mu     sync.Mutex
+	cached map[string][]string
+	asked  map[string]int
 }
 
 func (e *engines) ask(ctx context.Context, engine figseam.ListedEndpoint) ([]figseam.PromptPart, error) {
 	e.mu.Lock()
 	e.asked[engine.ID]++
-	kept, well := e.kept[engine.ID]
+	cached, well := e.cached[engine.ID]
 	e.mu.Unlock()
 	if engine.ID == "silent" {
 		<-ctx.Done()
@@ -36,7 +36,7 @@
 		return nil, errors.New("unreachable")
 	}
 	var parts []figseam.PromptPart
-	for _, id := range kept {
+	for _, id := range cached {
 		parts = append(parts, figseam.PromptPart{ID: id, Tokens: 10})
 	}
 	return parts, nil
@@ -59,7 +59,7 @@
 func TestFind(t *testing.T) {
 	tests := []struct {
 		name    string
-		kept    map[string][]string
+		cached  map[string][]string
 		engines []string
 		want    []string
 	}{
@@ -73,7 +73,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				e := &engines{kept: test.kept, asked: map[string]int{}}
+				e := &engines{cached: test.cached, asked: map[string]int{}}
 				began := time.Now()
 				found := locator.New(e.ask, func(figseam.ListedEndpoint, error) {}).Find(t.Context(), listed(test.engines...), "part")
 				require.Equal(t, test.want, idsOf(found))
@@ -87,7 +87,7 @@
 // engines are asked once, and again when their answers are out of date.
 func TestEnginesAreAskedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := &engines{kept: map[string][]string{"a": {"part"}, "b": {}}, asked: map[string]int{}}
+		e := &engines{cached: map[string][]string{"a": {"part"}, "b": {}}, asked: map[string]int{}}
 		l := locator.New(e.ask, func(figseam.ListedEndpoint, error) {})
 		var callers sync.WaitGroup
 		for range 50 {
@@ -98,7 +98,7 @@
 
 		time.Sleep(time.Second)
 		e.mu.Lock()
-		e.kept["a"], e.kept["b"] = nil, []string{"part"}
+		e.cached["a"], e.cached["b"] = nil, []string{"part"}
 		e.mu.Unlock()
 		require.Equal(t, []string{"b"}, idsOf(l.Find(t.Context(), listed("a", "b"), "part")))
 		require.Equal(t, map[string]int{"a": 2, "b": 2}, e.asked)
@@ -109,7 +109,7 @@
 // that others still get the answers.
 func TestCallerWhoLeavesIsNotHeld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := &engines{kept: map[string][]string{"a": {"part"}}, asked: map[string]int{}}
+		e := &engines{cached: map[string][]string{"a": {"part"}}, asked: map[string]int{}}
 		l := locator.New(e.ask, func(figseam.ListedEndpoint, error) {})
 		gone, leave := context.WithCancel(t.Context())
 		leave()
--- a/relayer/answering.go
+++ b/relayer/answering.go
@@ -139,7 +139,7 @@
 	t.Meter.Relayed(semantics, code, status, took)
 	t.Log.WithLevel(level).Str("request", string(t.request.ID)).Str("route", name).Str("service", t.service).
 		Str("semantics", semantics.String()).Str("code", string(code)).Int("status", status).Int64("ms", took.Milliseconds()).Int64("waited_ms", t.waitedMillis).Int("refusals", t.refusals).Int64("first_event_ms", t.firstEventMillis).
-		Uint64("version", t.version).Int64("list_age_ms", t.List.Age().Milliseconds()).Str("prompt_at", t.promptAt()).Int64("last_event", t.request.LastEvent).
+		Uint64("version", t.version).Int64("list_age_ms", t.List.Age().Milliseconds()).Str("cached_at", t.cachedAtID()).Int64("last_event", t.request.LastEvent).
 		Int("input_tokens", t.request.Prompt.InputTokens).Int("output_tokens", t.request.Prompt.OutputTokens).
 		RawJSON("steps", encodeSteps(t.steps)).Msg("request ended")
 }
--- a/relayer/kept.go
+++ b/relayer/cached.go
@@ -1,6 +1,6 @@
 package relayer
 
-// Prompts that engines have read are kept there until the memory is needed. What is
+// Engines cache the prompts that they have read until the memory is needed. What is
 // sent again goes to such an engine, or has the prompt fetched from there: nothing is
 // read twice.
 
@@ -8,13 +8,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/selector"
 )
 
-// resumeMillis is how long the first event may take from an engine that still keeps the
-// prompt.
+// resumeMillis is how long the first event may take from an engine that has the
+// prompt cached.
 const resumeMillis = 400
 
 // mayResume reports whether a broken stream may go on at the engine that it came
@@ -23,35 +24,35 @@
 	return t.route.Semantics.Repeatable() && t.Budget.Take(t.service)
 }
 
-// resume goes on at the engine whose stream broke: one that is well still keeps the
-// prompt. No memory is set aside, as that would drive out what the engine keeps.
+// resume goes on at the engine whose stream broke: one that is well has the
+// prompt cached. No memory is set aside, as that would evict the prompt.
 func (t *task) resume(ctx context.Context, broken *seat) figseam.Code {
 	again := *broken
 	e := again.choice.Candidate.Endpoint
-	again.choice.Reason = selector.ReasonKept
+	again.choice.Reason = selector.ReasonCached
 	s := &stream{task: t, endpoint: e, work: t.Board.Begin(e, 0, t.expectedTokens()), patienceMillis: resumeMillis}
 	return t.stream(ctx, s, &again, figseam.EndpointCall{Fetch: t.fetchFrom(e)})
 }
 
-// fetchFrom returns the address of another engine that has read the prompt, while it
+// fetchFrom returns the address of another engine that has the prompt cached, while it
 // seems to be well; empty for none.
 func (t *task) fetchFrom(own figseam.ListedEndpoint) string {
-	if t.readAt == nil || t.readAt.ID == own.ID {
+	if t.cachedAt == nil || t.cachedAt.ID == own.ID {
 		return ""
 	}
-	c, ok := t.candidate(t.readAt.ID, 0)
+	c, ok := t.candidate(t.cachedAt.ID, 0)
 	if !ok || c.Doubtful {
 		return ""
 	}
 	return c.Endpoint.Address
 }
 
-// promptAt returns the ID of the engine that has read the prompt; empty for none.
-func (t *task) promptAt() string {
-	if t.readAt == nil {
+// cachedAtID returns the ID of the engine that has the prompt cached; empty for none.
+func (t *task) cachedAtID() string {
+	if t.cachedAt == nil {
 		return ""
 	}
-	return t.readAt.ID
+	return t.cachedAt.ID
 }
 
 // candidate returns what is believed of an engine that has room for so many tokens. It
@@ -64,9 +65,13 @@
 	return selector.Candidate{}, false
 }
 
-// findKept looks for an engine that still keeps the prompt of a caller that comes back
-// for the rest of a stream, at best a decode engine.
-func (t *task) findKept(ctx context.Context) {
+// askedMost bounds the engines that are asked for a prompt, those of the instance's own
+// data centre first.
+const askedMost = 160
+
+// findCached looks for an engine that has the prompt of a caller that comes back for
+// the rest of a stream in its cache, at best a decode engine.
+func (t *task) findCached(ctx context.Context) {
 	parts := t.request.Prompt.Parts
 	if t.request.LastEvent < 0 || !t.route.Semantics.Repeatable() || len(parts) == 0 {
 		return
@@ -77,38 +82,48 @@
 			engines = append(engines, c.Endpoint)
 		}
 	}
-	for _, e := range t.kept.Find(ctx, engines, parts[len(parts)-1].ID) {
-		t.readAt = &e
+	slices.SortStableFunc(engines, func(a, b figseam.ListedEndpoint) int { return t.distance(a) - t.distance(b) })
+	engines = engines[:min(len(engines), askedMost)]
+	for _, e := range t.caches.Find(ctx, engines, parts[len(parts)-1].ID) {
+		t.cachedAt = &e
 		if e.Stage == figseam.StageForDecode {
 			return
 		}
 	}
 }
 
+// distance is 0 for engines of the instance's own data centre and 1 for others.
+func (t *task) distance(e figseam.ListedEndpoint) int {
+	if e.DataCentre == t.DataCentre {
+		return 0
+	}
+	return 1
+}
+
 func noneSkipped(figseam.ListedEndpoint) bool { return false }
 
-// chooseKept returns the decode engine that keeps the prompt, if it has room.
-func (t *task) chooseKept(need int) (selector.Choice, bool) {
-	if t.readAt == nil || t.readAt.Stage != figseam.StageForDecode || t.avoid[t.readAt.ID] {
+// chooseCached returns the decode engine that has the prompt cached, if it has room.
+func (t *task) chooseCached(need int) (selector.Choice, bool) {
+	if t.cachedAt == nil || t.cachedAt.Stage != figseam.StageForDecode || t.avoid[t.cachedAt.ID] {
 		return selector.Choice{}, false
 	}
-	c, ok := t.candidate(t.readAt.ID, need)
-	return selector.Choice{Candidate: c, Reason: selector.ReasonKept}, ok
+	c, ok := t.candidate(t.cachedAt.ID, need)
+	return selector.Choice{Candidate: c, Reason: selector.ReasonCached}, ok
 }
 
-// noteUnasked writes the line of an engine that did not say what it keeps.
+// noteUnasked writes the line of an engine that did not say what it has cached.
 func (r *Relayer) noteUnasked(e figseam.ListedEndpoint, err error) {
-	r.Log.Debug().Err(err).Str("endpoint", e.ID).Msg("endpoint does not say what it keeps")
+	r.Log.Debug().Err(err).Str("endpoint", e.ID).Msg("endpoint does not say what it has cached")
 }
 
-// askKept asks an engine which parts of prompts it keeps.
-func (r *Relayer) askKept(ctx context.Context, e figseam.ListedEndpoint) ([]figseam.PromptPart, error) {
-	status, body, err := r.ask(ctx, e, http.MethodGet, r.Wire.KeptPath(), nil)
+// askCached asks an engine which parts of prompts it has cached.
+func (r *Relayer) askCached(ctx context.Context, e figseam.ListedEndpoint) ([]figseam.PromptPart, error) {
+	status, body, err := r.ask(ctx, e, http.MethodGet, r.Wire.CachedPartsPath(), nil)
 	if err != nil {
 		return nil, err
 	}
 	if status != http.StatusOK {
 		return nil, fmt.Errorf("the engine answered %d", status)
 	}
-	return r.Wire.DecodeKept(body)
+	return r.Wire.DecodeCachedParts(body)
 }
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -21,7 +21,7 @@
 func (t *task) generate(ctx context.Context) {
 	_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
 	t.rooms.count(t.service, reading, t.expectedTokens(), t.stays.get())
-	t.findKept(ctx)
+	t.findCached(ctx)
 	if code := t.generateOn(ctx); code != "" {
 		t.conclude(code)
 	}
@@ -31,7 +31,7 @@
 // has ended, and says otherwise why no further engine is tried.
 func (t *task) generateOn(ctx context.Context) figseam.Code {
 	code := explainer.NoEndpoint
-	prefilling := t.readAt == nil
+	prefilling := t.cachedAt == nil
 	for connects, began := 0, time.Now(); !connectsFail(connects, began); {
 		seat, none := t.takeSeat(ctx)
 		if seat == nil {
@@ -110,7 +110,7 @@
 	if source == nil {
 		call.Fetch = t.fetchFrom(e)
 	}
-	if source == nil && t.readAt == nil {
+	if source == nil && t.cachedAt == nil {
 		_, reading := t.pace.Millis(t.request.Prompt.InputTokens)
 		s.reading = t.Board.Begin(e, selector.OwnReadingMillis(reading), 0)
 		defer s.hasRead()
--- a/relayer/prefilling.go
+++ b/relayer/prefilling.go
@@ -63,7 +63,7 @@
 		p, code := t.prefillOnce(ctx, choice)
 		t.note(choice.Candidate.Endpoint, "prefill", choice, code, began)
 		if code == "" {
-			t.readAt = &p.engine
+			t.cachedAt = &p.engine
 			return p, ""
 		}
 		t.avoid[choice.Candidate.Endpoint.ID] = true
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -67,7 +67,7 @@
 	others otherDemands
 	stays  stays
 	pace   selector.Pace
-	kept   *locator.Locator
+	caches *locator.Locator
 	// hasTable is closed when there is a first table.
 	hasTable chan struct{}
 }
@@ -75,7 +75,7 @@
 // New returns a relayer that refuses everything until it has a table.
 func New(settings Settings) *Relayer {
 	r := &Relayer{Settings: settings, hasTable: make(chan struct{}), rooms: rooms{changed: settings.Board.Changed, queues: map[string]*queuer.Queue{}, demands: map[string]demand{}}}
-	r.kept = locator.New(r.askKept, r.noteUnasked)
+	r.caches = locator.New(r.askCached, r.noteUnasked)
 	return r
 }
 
@@ -130,8 +130,8 @@
 	// after its arrival its first event came.
 	waitedMillis     int64
 	firstEventMillis int64
-	// readAt is the engine that has read the prompt; nil for none.
-	readAt *figseam.ListedEndpoint
+	// cachedAt is the engine that is believed to have the prompt cached; nil for none.
+	cachedAt *figseam.ListedEndpoint
 	// refusals is how often engines had no memory to set aside.
 	refusals int
 }
--- a/relayer/turn.go
+++ b/relayer/turn.go
@@ -100,7 +100,7 @@
 	if u.yields() {
 		return nil
 	}
-	choice, ok := u.chooseKept(u.need)
+	choice, ok := u.chooseCached(u.need)
 	if !ok {
 		choice, ok = u.choose(figseam.StageForDecode, u.DataCentre, u.need)
 	}
--- a/selector/reading.go
+++ b/selector/reading.go
@@ -10,8 +10,8 @@
 const (
 	// ReasonOwnPrefill is the reason why a decode engine reads the prompt itself.
 	ReasonOwnPrefill figseam.Code = "own_prefill"
-	// ReasonKept is the reason why an engine is asked that still keeps the prompt.
-	ReasonKept figseam.Code = "kept"
+	// ReasonCached is the reason why an engine is asked that has the prompt cached.
+	ReasonCached figseam.Code = "cached"
 	// ownReadingFactor is how much longer a decode engine takes for a prompt than an
 	// idle prefill engine: it reads at half the speed, in turns with the tokens of
 	// its other requests.
--- a/wire.go
+++ b/wire.go
@@ -128,10 +128,10 @@
 	DecodeHold(body []byte) (string, error)
 	// DropHoldPath returns the target of the DELETE that gives it back.
 	DropHoldPath(hold string) string
-	// KeptPath is the target of the GET that lists the parts of prompts that an
-	// engine keeps, and DecodeKept reads its answer.
-	KeptPath() string
-	DecodeKept(body []byte) ([]PromptPart, error)
+	// CachedPartsPath is the target of the GET that lists the parts of prompts that an
+	// engine has cached, and DecodeCachedParts reads its answer.
+	CachedPartsPath() string
+	DecodeCachedParts(body []byte) ([]PromptPart, error)
 	// RequestIDHeader is the name of the header with the request's ID.
 	RequestIDHeader() string
 }
