--- a/cmd/figctl/tracer/tracer_test.go
+++ b/cmd/figctl/tracer/tracer_test.go
@@ -34,7 +34,9 @@
 	}{
 		{"one instance", "r", []string{entryLog}, []string{"front-1 no_room"}, []string{"front-1 keeper lost"}},
 		{
-			"several instances", "r", []string{otherLog, entryLog}, []string{"front-1 no_room", "front-2 answered"},
+			"several instances", "r",
+			[]string{otherLog, entryLog},
+			[]string{"front-1 no_room", "front-2 answered"},
 			[]string{"front-1 keeper lost", "core-1 engine ordered to change its stage"},
 		},
 		{"another request", "other", []string{entryLog}, []string{"front-1 "}, []string{"front-1 keeper lost"}},
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -59,7 +59,7 @@
 	byService map[string][]figseam.ListedEndpoint
 	byAddress map[string]figseam.ListedEndpoint
 	digest    uint64
-	cachedAt    time.Time
+	readAt    time.Time
 	changed   chan struct{}
 	failing   bool
 	// suspended endpoints are listed as leaving until the deadline, or until they are
@@ -138,9 +138,9 @@
 	for _, id := range ids {
 		l.suspended[id] = suspension{until: until, stage: stageIn(l.endpoints, id)}
 	}
-	endpoints, cachedAt := slices.Clone(l.endpoints), l.cachedAt.Add(1)
+	endpoints, readAt := slices.Clone(l.endpoints), l.readAt.Add(1)
 	l.mu.Unlock()
-	l.take(l.withSuspended(endpoints), cachedAt)
+	l.take(l.withSuspended(endpoints), readAt)
 }
 
 func (l *List) withSuspended(endpoints []figseam.ListedEndpoint) []figseam.ListedEndpoint {
@@ -170,15 +170,15 @@
 }
 
 // take puts a reading in place if it is newer than the one held.
-func (l *List) take(endpoints []figseam.ListedEndpoint, cachedAt time.Time) {
+func (l *List) take(endpoints []figseam.ListedEndpoint, readAt time.Time) {
 	figseam.SortEndpoints(endpoints)
 	digest := digestOf(endpoints)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !cachedAt.After(l.cachedAt) {
+	if !readAt.After(l.readAt) {
 		return
 	}
-	l.cachedAt = cachedAt
+	l.readAt = readAt
 	if digest == l.digest && l.byService != nil {
 		return
 	}
@@ -210,10 +210,10 @@
 }
 
 func (l *List) age() time.Duration {
-	if l.cachedAt.IsZero() {
+	if l.readAt.IsZero() {
 		return time.Hour
 	}
-	return time.Since(l.cachedAt)
+	return time.Since(l.readAt)
 }
 
 // Known reports whether the list was ever read.
@@ -301,7 +301,7 @@
 	if !r.Known {
 		return
 	}
-	cachedAt := time.Now().Add(-time.Duration(r.AgeMillis) * time.Millisecond)
+	readAt := time.Now().Add(-time.Duration(r.AgeMillis) * time.Millisecond)
 	l.mu.Lock()
 	for id, millis := range r.SuspendedMillis {
 		// Whoever reads the list next must know, also if the one that suspended the
@@ -315,12 +315,12 @@
 		}
 	}
 	same := l.byService != nil && r.Digest == l.digest
-	if same && cachedAt.After(l.cachedAt) {
-		l.cachedAt = cachedAt
+	if same && readAt.After(l.readAt) {
+		l.readAt = readAt
 	}
 	l.mu.Unlock()
 	if same || (r.Endpoints == nil && r.Digest != digestOf(nil)) {
 		return
 	}
-	l.take(r.Endpoints, cachedAt)
+	l.take(r.Endpoints, readAt)
 }
--- a/relayer/demand.go
+++ b/relayer/demand.go
@@ -55,7 +55,8 @@
 	return q
 }
 
-// Demands returns what the requests of this instance ask of each service.
+// Demands returns what the requests of this instance ask of each service, of those of
+// which they ask anything.
 func (r *Relayer) Demands() []figseam.ServiceDemand {
 	r.rooms.mu.Lock()
 	defer r.rooms.mu.Unlock()
@@ -64,10 +65,14 @@
 	for service, q := range r.rooms.queues {
 		waiting, timely := q.Tokens()
 		rates := r.rooms.demands[service]
-		all = append(all, figseam.ServiceDemand{
-			Service: figseam.HashService(service), WaitingTokens: waiting, TimelyTokens: timely,
+		d := figseam.ServiceDemand{
+			WaitingTokens: waiting, TimelyTokens: timely,
 			PrefillMillis: int(rates.prefill.perSecond(now)), DecodeTokens: int(rates.tokens.perSecond(now)),
-		})
+		}
+		if d != (figseam.ServiceDemand{}) {
+			d.Service = figseam.HashService(service)
+			all = append(all, d)
+		}
 	}
 	return all
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -38,11 +38,13 @@
 		{"far before busy", []selector.Candidate{{Endpoint: at("a", "there")}, {Endpoint: at("b", "here"), WorkMillis: 100}}, "a", selector.ReasonLeastWork},
 		{
 			"a generation stays near",
-			[]selector.Candidate{{Endpoint: decode("a", "there"), FillShare: 0.5}, {Endpoint: decode("b", "here"), FillShare: 0.9}}, "b", selector.ReasonLeastWork,
+			[]selector.Candidate{{Endpoint: decode("a", "there"), FillShare: 0.5}, {Endpoint: decode("b", "here"), FillShare: 0.9}},
+			"b", selector.ReasonLeastWork,
 		},
 		{
 			"a generation goes far before it waits",
-			[]selector.Candidate{{Endpoint: decode("a", "there")}, {Endpoint: decode("b", "here"), Full: true}}, "a", selector.ReasonLeastWork,
+			[]selector.Candidate{{Endpoint: decode("a", "there")}, {Endpoint: decode("b", "here"), Full: true}},
+			"a", selector.ReasonLeastWork,
 		},
 		{"least memory left", []selector.Candidate{{Endpoint: at("a", "here"), FillShare: 0.5, Packs: true}, {Endpoint: at("b", "here"), FillShare: 0.8, Packs: true}}, "b", selector.ReasonLeastWork},
 		{"emptier memory", []selector.Candidate{{Endpoint: at("a", "here"), FillShare: 0.8}, {Endpoint: at("b", "here"), FillShare: 0.5}}, "b", selector.ReasonLeastWork},
