relayer: one place that says which endpoints of a stage are candidates

Found when reading the change over: choosePrefill and load had copies of what choose does before it decides.

--- a/relayer/prefilling.go
+++ b/relayer/prefilling.go
@@ -83,10 +83,8 @@
 
 // choosePrefill returns a good engine to read the prompt.
 func (t *task) choosePrefill(home figseam.DataCentre) (selector.Choice, bool) {
-	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForPrefill || t.avoid[e.ID] }
-	candidates := t.Board.Candidates(t.List.Service(t.service), skip, 0, t.memoryTokens())
 	random := randomSource()
-	return selector.Choose(selector.Sample(candidates, t.otherPrefills(), random), home, random)
+	return selector.Choose(selector.Sample(t.candidates(figseam.StageForPrefill, 0), t.otherPrefills(), random), home, random)
 }
 
 // otherPrefills returns how many prefills other instances begin before this one hears
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -260,9 +260,14 @@
 
 // choose returns the best endpoint for a stage that has room for so many tokens.
 func (t *task) choose(stage figseam.EndpointStage, home figseam.DataCentre, need int) (selector.Choice, bool) {
+	return selector.Choose(t.candidates(stage, need), home, randomSource())
+}
+
+// candidates returns what is believed of the endpoints for a stage that are not to be
+// avoided. need is the memory in tokens that the request wants there.
+func (t *task) candidates(stage figseam.EndpointStage, need int) []selector.Candidate {
 	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != stage || t.avoid[e.ID] }
-	candidates := t.Board.Candidates(t.List.Service(t.service), skip, need, t.memoryTokens())
-	return selector.Choose(candidates, home, randomSource())
+	return t.Board.Candidates(t.List.Service(t.service), skip, need, t.memoryTokens())
 }
 
 func randomSource() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- a/relayer/seating.go
+++ b/relayer/seating.go
@@ -165,7 +165,6 @@
 // to be avoided, and how many there are.
 func (t *task) load(queue *queuer.Queue) (queuer.Load, int) {
 	memory := t.memoryTokens()
-	skip := func(e figseam.ListedEndpoint) bool { return e.Stage != figseam.StageForDecode || t.avoid[e.ID] }
 	waiting, timely := queue.Tokens()
 	others := t.others.of(t.service)
 	l := queuer.Load{
@@ -173,7 +172,7 @@
 		TimelyTokens: min(waiting, timely) + min(others.WaitingTokens, others.TimelyTokens),
 	}
 	engines := 0
-	for _, c := range t.Board.Candidates(t.List.Service(t.service), skip, 0, memory) {
+	for _, c := range t.candidates(figseam.StageForDecode, 0) {
 		engines++
 		if selector.Rests(c) {
 			continue
