--- a/replicator/faults_test.go
+++ b/replicator/faults_test.go
@@ -121,6 +121,32 @@
 	})
 }
 
+// TestLeaderStepsDownOnRejectedSnapshot gives a replica that lies behind the start of
+// the leader's log a later term, as a vote for a failed candidate does. It rejects the
+// leader's snapshots, so the leader has to learn the term from the rejection.
+func TestLeaderStepsDownOnRejectedSnapshot(t *testing.T) {
+	withSettledGroup(t, func(t *testing.T, g *group) {
+		l := g.awaitLeader(t)
+		lagging := g.replicas[g.voters[0]]
+		if lagging == l {
+			lagging = g.replicas[g.voters[1]]
+		}
+		g.setIsolated(lagging.name, true)
+		for i := range 40 {
+			require.NoError(t, propose(g.awaitLeader(t).node, fmt.Sprint(i)))
+		}
+		laterTerm := l.node.Status().Term + 5
+		lagging.node.HandleVote(replicator.VoteRequest{
+			Header: replicator.Header{ToIdentity: lagging.node.Self().Identity, From: l.node.Self(), Term: laterTerm},
+		})
+		require.Equal(t, laterTerm, lagging.node.Status().Term)
+		g.setIsolated(lagging.name, false)
+		g.awaitSettled(t)
+		require.GreaterOrEqual(t, g.awaitLeader(t).node.Status().Term, laterTerm)
+		require.Len(t, lagging.log.all(), 40)
+	})
+}
+
 // TestFailedSyncStopsReplica checks that a replica whose disk fails stops with the
 // disk's error, and that another replica becomes the leader.
 func TestFailedSyncStopsReplica(t *testing.T) {
--- a/replicator/leading.go
+++ b/replicator/leading.go
@@ -143,8 +143,9 @@
 		return false
 	}
 	if p.nextIndex <= n.baseIndex {
+		header := n.newHeader(p.replica)
 		n.mu.Unlock()
-		return n.sendSnapshot(ctx, p)
+		return n.sendSnapshot(ctx, p, header)
 	}
 	prevTerm, _ := n.termAt(p.nextIndex - 1)
 	request := AppendRequest{
@@ -192,11 +193,12 @@
 const snapshotChunkBytes = 512 << 10
 
 // sendSnapshot sends the latest snapshot to a peer that needs entries which the log
-// no longer holds. It reports whether there is more to send.
-func (n *Node) sendSnapshot(ctx context.Context, p *peer) bool {
+// no longer holds. The caller builds the header while it checks that this replica leads,
+// since the replica may be a follower of a later term by now. It reports whether there is
+// more to send.
+func (n *Node) sendSnapshot(ctx context.Context, p *peer, header Header) bool {
 	n.mu.Lock()
 	snapshot, err := n.journal.LatestSnapshot()
-	header := n.newHeader(p.replica)
 	n.mu.Unlock()
 	if err != nil || snapshot.Index == 0 {
 		return false
@@ -212,7 +214,11 @@
 			Header: header, SnapshotIndex: snapshot.Index, Offset: offset, Chunk: data[offset:end], Done: end == len(data),
 		})
 		cancel()
-		if err != nil || !reply.Success {
+		if err != nil {
+			return false
+		}
+		if !reply.Success {
+			n.handleRejectedSnapshot(reply)
 			return false
 		}
 		if end == len(data) {
@@ -223,3 +229,14 @@
 		n.mu.Unlock()
 	}
 }
+
+// handleRejectedSnapshot adopts the term of a peer that rejected a snapshot because it
+// is in a later term. Without that, the peer would reject every snapshot, and this
+// replica would lead on without it.
+func (n *Node) handleRejectedSnapshot(reply AppendReply) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if reply.Term > n.term {
+		n.adoptTerm(reply.Term)
+	}
+}
