limiter, connector, relayer: bound what endpoints that send without end can occupy

Cause: heads were read without a limit (status line, field line, fields, interim answers); an event of many short lines grew without a limit; comments and blank lines counted as progress, so an engine that stalled and trickled held its caller until the route's end; the timeout between events was 2 s on every route, so sound streams of routes with longer gaps were cut. A service's interim answer was taken for its answer (dialer). Change: package limiter bounds heads (64 KiB with interim answers) and the memory of buffered bodies in blocks; an event is at most 256 KiB; only events with data restart the timer, which follows from the callers' patience on the route. New codes name the limit.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -1,7 +1,6 @@
 package connector
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -86,7 +85,7 @@
 // conn is a connection that one exchange uses at a time.
 type conn struct {
 	net.Conn
-	reader       *bufio.Reader
+	*responseReader
 	idleDeadline time.Time
 }
 
@@ -156,7 +155,7 @@
 	x.connector.mu.Lock()
 	x.connector.opened++
 	x.connector.mu.Unlock()
-	x.conn = &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	x.conn = &conn{Conn: raw, responseReader: newResponseReader(raw)}
 	return nil
 }
 
@@ -229,19 +228,14 @@
 }
 
 func (x *exchange) readHeader() (*Response, error) {
-	for {
-		h, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
-		if err != nil {
-			return nil, err
-		}
-		if h.StatusCode >= 100 && h.StatusCode < 200 {
-			continue
-		}
-		selfDelimiting := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
-		x.reusable = selfDelimiting && !h.Close
-		x.keepAlive = h.Header.Get("Keep-Alive")
-		return &Response{Status: h.StatusCode, Header: h.Header, SelfDelimiting: selfDelimiting, body: h.Body, exchange: x}, nil
+	h, err := x.conn.readResponse(&http.Request{Method: x.request.Method})
+	if err != nil {
+		return nil, err
 	}
+	selfDelimiting := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
+	x.reusable = selfDelimiting && !h.Close
+	x.keepAlive = h.Header.Get("Keep-Alive")
+	return &Response{Status: h.StatusCode, Header: h.Header, SelfDelimiting: selfDelimiting, body: h.Body, exchange: x}, nil
 }
 
 // idleTimeout returns the longest time for which a connection may be idle and still be
--- /dev/null
+++ b/connector/reading.go
@@ -0,0 +1,44 @@
+package connector
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+
+	"github.com/figseam/figseam/limiter"
+)
+
+// responseReader reads the responses on one connection.
+type responseReader struct {
+	reader *bufio.Reader
+	// head bounds the heads that reader reads.
+	head *limiter.HeadReader
+}
+
+func newResponseReader(source io.Reader) *responseReader {
+	head := limiter.NewHeadReader(source)
+	return &responseReader{reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
+}
+
+// readResponse reads the head of the next response and skips interim responses. It returns
+// [limiter.ErrHeadTooLarge] if they are too long together.
+func (r *responseReader) readResponse(request *http.Request) (*http.Response, error) {
+	r.head.Begin()
+	defer r.head.End()
+	for {
+		response, err := http.ReadResponse(r.reader, request)
+		if err != nil {
+			return nil, r.head.CheckedError(err)
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+}
+
+// ReadResponse reads the response to a request from a connection that carries no other
+// request. It skips interim responses, and returns [limiter.ErrHeadTooLarge] if the head is
+// too long.
+func ReadResponse(source io.Reader, request *http.Request) (*http.Response, error) {
+	return newResponseReader(source).readResponse(request)
+}
--- a/dialer/call.go
+++ b/dialer/call.go
@@ -1,7 +1,6 @@
 package dialer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -15,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/connector"
 )
 
 // MaxServiceResponseBytes bounds a plain service's response body, which is held in memory.
@@ -94,7 +94,7 @@
 	if err := request.Write(c); err != nil {
 		return ServiceResponse{}, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c.conn), request)
+	response, err := connector.ReadResponse(c.conn, request)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
--- /dev/null
+++ b/dialer/call_test.go
@@ -0,0 +1,42 @@
+package dialer_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/dialer"
+	"github.com/figseam/figseam/emulator"
+	"github.com/figseam/figseam/limiter"
+)
+
+// callHostile calls a hostile server and returns the error of the call, after the server's
+// connection was closed.
+func callHostile(t *testing.T, server emulator.HostileServer) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	ended := server.ServeNext(l)
+	c, err := dialer.Connect(t.Context(), figseam.Endpoint{Name: "hostile", Address: "http://" + l.Addr().String()})
+	require.NoError(t, err)
+	_, err = c.Do(t.Context(), dialer.ServiceCall{Method: http.MethodGet, Path: "/x", Header: http.Header{}})
+	require.NoError(t, c.Close())
+	<-ended
+	return err
+}
+
+// TestEndlessResponseIsRejected guards against services that send without end, in the head
+// or in the body.
+func TestEndlessResponseIsRejected(t *testing.T) {
+	for name, server := range emulator.HostileHeads() {
+		t.Run("head: "+name, func(t *testing.T) {
+			require.ErrorIs(t, callHostile(t, server), limiter.ErrHeadTooLarge)
+		})
+	}
+	t.Run("body", func(t *testing.T) {
+		require.ErrorIs(t, callHostile(t, emulator.HostileServer{Prefix: "HTTP/1.1 200 OK\r\n\r\n", Repeated: "x"}), dialer.ErrResponseTooLarge)
+	})
+}
--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -68,6 +68,9 @@
 	ResponseMismatch       figseam.Code = "answer_foreign"
 	InvalidResponse        figseam.Code = "answer_spoiled"
 	PrefillFailed          figseam.Code = "prefill_failed"
+	HeadTooLarge           figseam.Code = "head_over_limit"
+	EventTooLarge          figseam.Code = "event_over_limit"
+	BodiesTooLarge         figseam.Code = "bodies_over_limit"
 )
 
 // Reason codes of rejected operator requests.
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -194,7 +194,7 @@
 	{
 		Code:        "answer_too_large",
 		Title:       "Answer too large to store",
-		Description: "The call ran, but its answer is over the stored limit and cannot be given again.",
+		Description: "The call ran, but its answer is over the limit and cannot be stored or passed on.",
 		Action:      "Ask the service for the result.",
 		Since:       "0.1",
 	},
@@ -387,4 +387,25 @@
 		Action:      "If frequent outside bursts, add decode engines.",
 		Since:       "0.2",
 	},
+	{
+		Code:        "head_over_limit",
+		Title:       "Head of the answer too long",
+		Description: "The first line, fields and interim answers were over 64 KiB together. The connection was closed; the request may have run.",
+		Action:      "Look at the endpoint; it sends bytes that are no answer.",
+		Since:       "0.5",
+	},
+	{
+		Code:        "event_over_limit",
+		Title:       "Event too long",
+		Description: "An event of the stream was over 256 KiB. The connection was closed; the request may have run.",
+		Action:      "Look at the endpoint; it sends bytes that are no answer.",
+		Since:       "0.5",
+	},
+	{
+		Code:        "bodies_over_limit",
+		Title:       "No memory for the request's body",
+		Description: "The bodies of other requests take up the memory set apart for them. The request did not run.",
+		Action:      "If frequent, add instances, or look for callers that send large bodies slowly.",
+		Since:       "0.5",
+	},
 }
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -36,7 +36,8 @@
 // call relays a request to a service without stages. It reads a response completely
 // before relaying it.
 func (t *task) call(ctx context.Context) {
-	var failedResponse *bufferedResponse
+	var failedResponse bufferedResponse
+	defer func() { failedResponse.release() }()
 	code := explainer.NoAvailableEndpoint
 	for connectFailures := 0; ; {
 		choice, ok := t.chooseCallEndpoint()
@@ -59,10 +60,12 @@
 		t.attempts++
 		if code == "" && (response.status < http.StatusInternalServerError || t.route.Semantics != figseam.Idempotent) {
 			t.writeResponse(response, explainer.ResponseRelayed)
+			response.release()
 			return
 		}
 		if code == "" {
-			failedResponse = &response
+			failedResponse.release()
+			failedResponse = response
 		}
 		if code == explainer.CallerDisconnected {
 			t.logDisconnect()
@@ -72,8 +75,8 @@
 			break
 		}
 	}
-	if failedResponse != nil {
-		t.writeResponse(*failedResponse, explainer.FailureResponseRelayed)
+	if failedResponse.body != nil {
+		t.writeResponse(failedResponse, explainer.FailureResponseRelayed)
 		return
 	}
 	t.finishFailed(code)
@@ -118,7 +121,7 @@
 	if response.Status < http.StatusMultipleChoices && !head.Signed {
 		return bufferedResponse{}, explainer.InvalidResponse
 	}
-	body, code := readWhole(ctx, response)
+	body, code := t.readWhole(ctx, response)
 	endpointResult = t.callResult(code, began)
 	if code == "" && response.Status >= http.StatusInternalServerError {
 		endpointResult = selector.ResultFailure
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -10,12 +10,15 @@
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/selector"
 )
 
 const (
-	// maxResponseBytes bounds a response that is read completely before it is relayed.
-	maxResponseBytes = 8 << 20
+	// maxResponseBytes bounds a response that is read completely before it is relayed, and
+	// maxBufferedBytes the memory of all responses that are.
+	maxResponseBytes = 4 << 20
+	maxBufferedBytes = 6 << 20
 	// maxControlResponseBytes bounds the response to a control call; the rest is
 	// ignored.
 	maxControlResponseBytes = 64 << 10
@@ -56,6 +59,12 @@
 		return explainer.ConnectFailed
 	case errors.Is(err, connector.ErrMismatchedResponse):
 		return explainer.ResponseMismatch
+	case errors.Is(err, limiter.ErrHeadTooLarge):
+		return explainer.HeadTooLarge
+	case errors.Is(err, errEventTooLarge):
+		return explainer.EventTooLarge
+	case errors.Is(err, limiter.ErrBodyTooLarge), errors.Is(err, limiter.ErrBudgetExhausted):
+		return explainer.ResponseTooLarge
 	}
 	return explainer.ConnectionLost
 }
@@ -65,14 +74,11 @@
 var errAttemptTimeout = errors.New("endpoint did not respond within the attempt timeout")
 
 // readWhole reads a response body to its end. The code is empty if the body is complete
-// and not longer than maxResponseBytes.
-func readWhole(ctx context.Context, r *connector.Response) ([]byte, figseam.Code) {
-	body, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	switch {
-	case err != nil:
+// and there is memory for it. The caller must release the body.
+func (r *Relayer) readWhole(ctx context.Context, response *connector.Response) (*limiter.Body, figseam.Code) {
+	body, err := r.responseMemory.ReadBody(response, maxResponseBytes)
+	if err != nil {
 		return nil, errorCode(ctx, err)
-	case len(body) > maxResponseBytes:
-		return nil, explainer.ResponseTooLarge
 	}
 	return body, ""
 }
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -9,13 +9,17 @@
 	"github.com/figseam/figseam/selector"
 )
 
-const (
-	// firstEventTimeoutMillis is the timeout for the first event of a stream that may
-	// be retried at another endpoint; eventGapTimeoutMillis is the timeout between two
-	// events.
-	firstEventTimeoutMillis = 2000
-	eventGapTimeoutMillis   = 2000
-)
+// eventTimeoutShare is the share of the callers' patience after which an engine without an
+// event is replaced, so that another one can still send an event in time. It applies only
+// to streams that may be retried.
+const eventTimeoutShare = 0.55
+
+// eventTimeoutMillis returns the longest time without an event, at the start or between
+// two events, of a stream that may be retried. It follows from the route's own targets, so
+// that a sound stream whose events come slowly is not broken off.
+func (t *task) eventTimeoutMillis() int64 {
+	return int64(eventTimeoutShare * float64(t.route.PatienceMillis))
+}
 
 // generate relays a request to model engines: a prefill engine, then a decode engine
 // that streams the response. If the route allows it, a broken stream is continued after
@@ -110,7 +114,7 @@
 // The code is empty if the request has ended.
 func (t *task) decode(ctx context.Context, p *placement, source *prefillResult) figseam.Code {
 	e := p.choice.Candidate.Endpoint
-	s := &stream{task: t, endpoint: e, inFlight: p.inFlight, firstEventTimeoutMillis: firstEventTimeoutMillis}
+	s := &stream{task: t, endpoint: e, inFlight: p.inFlight, firstEventTimeoutMillis: t.eventTimeoutMillis()}
 	call := figseam.EndpointCall{PrefillSource: source.cacheAddress(), Reservation: p.reservationID}
 	if source == nil {
 		call.CacheSource = t.cacheSource(e)
@@ -164,7 +168,7 @@
 	}
 	e := choice.Candidate.Endpoint
 	began := time.Now()
-	s := &stream{task: t, endpoint: e, inFlight: t.Tracker.StartRequest(e, expectedCallMillis, 0), firstEventTimeoutMillis: firstEventTimeoutMillis}
+	s := &stream{task: t, endpoint: e, inFlight: t.Tracker.StartRequest(e, expectedCallMillis, 0), firstEventTimeoutMillis: t.eventTimeoutMillis()}
 	code := s.run(ctx, figseam.EndpointCall{Request: t.request, Endpoint: e, Deadline: t.request.Deadline})
 	t.recordStep(e, "stream", choice, code, began)
 	if code != "" {
@@ -182,7 +186,7 @@
 		return func() {}, func() {}
 	}
 	timer := time.AfterFunc(time.Duration(s.firstEventTimeoutMillis)*time.Millisecond, func() { cancel(errAttemptTimeout) })
-	return func() { timer.Reset(eventGapTimeoutMillis * time.Millisecond) }, func() { timer.Stop() }
+	return func() { timer.Reset(time.Duration(s.eventTimeoutMillis()) * time.Millisecond) }, func() { timer.Stop() }
 }
 
 // recordLoad records the load that the endpoint reported in its response header.
--- a/relayer/prefilling.go
+++ b/relayer/prefilling.go
@@ -144,16 +144,17 @@
 		endpointResult = resultOf(code)
 		return nil, code
 	}
-	body, code := readWhole(ctx, response)
+	body, code := t.readWhole(ctx, response)
 	endpointResult = resultOf(code)
 	if code != "" {
 		return nil, code
 	}
+	defer body.Release()
 	if response.Status != http.StatusOK {
 		endpointResult = selector.ResultFailure
 		return nil, explainer.PrefillFailed
 	}
-	handle, err := t.Codec.DecodeHandle(body)
+	handle, err := t.Codec.DecodeHandle(body.Bytes())
 	if err != nil {
 		endpointResult = selector.ResultFailure
 		return nil, explainer.InvalidResponse
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 	"github.com/figseam/figseam/budgeter"
 	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/lister"
 	"github.com/figseam/figseam/locator"
 	"github.com/figseam/figseam/matcher"
@@ -27,6 +27,8 @@
 	bodyReadTimeoutMillis = 5000
 	// defaultBodyBytes bounds a request body if the table sets no limit.
 	defaultBodyBytes = 4 << 20
+	// maxRequestBodiesBytes bounds the memory of all request bodies.
+	maxRequestBodiesBytes = 12 << 20
 	// startupWaitMillis is the longest time that a request waits for the instance's
 	// first table and first endpoint list.
 	startupWaitMillis = 800
@@ -69,6 +71,9 @@
 	residence        residenceMean
 	prefillEstimator selector.PrefillEstimator
 	cacheLocator     *locator.Locator
+	// requestMemory and responseMemory hold the bodies that are read completely.
+	requestMemory  *limiter.Budget
+	responseMemory *limiter.Budget
 	// tableSet is closed when the first table is set.
 	tableSet chan struct{}
 }
@@ -76,7 +81,11 @@
 // New returns a relayer that refuses all requests until it has a table; see
 // [Relayer.SetTable].
 func New(settings Settings) *Relayer {
-	r := &Relayer{Settings: settings, tableSet: make(chan struct{}), queues: decodeQueues{changed: settings.Tracker.Changed, byService: map[string]*queuer.Queue{}, offered: map[string]offeredLoad{}}}
+	r := &Relayer{
+		Settings: settings, tableSet: make(chan struct{}),
+		queues:        decodeQueues{changed: settings.Tracker.Changed, byService: map[string]*queuer.Queue{}, offered: map[string]offeredLoad{}},
+		requestMemory: limiter.NewBudget(maxRequestBodiesBytes), responseMemory: limiter.NewBudget(maxBufferedBytes),
+	}
 	r.cacheLocator = locator.New(r.queryCache, r.logCacheQueryFailure)
 	return r
 }
@@ -112,9 +121,11 @@
 // task is the state of one request in flight.
 type task struct {
 	*Relayer
-	writer   http.ResponseWriter
-	control  *http.ResponseController
-	request  figseam.OpaqueRequest
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	request figseam.OpaqueRequest
+	// body holds the memory of the request body; nil if there is none.
+	body     *limiter.Body
 	route    *figseam.HostRoute
 	service  string
 	version  uint64
@@ -162,6 +173,9 @@
 	if !t.admit(q) {
 		return
 	}
+	if t.body != nil {
+		defer t.body.Release()
+	}
 	ctx, cancel := context.WithDeadlineCause(q.Context(), t.request.Deadline.Time(), errDeadlineExceeded)
 	defer cancel()
 	_ = t.control.SetWriteDeadline(t.request.Deadline.Time().Add(writeSlackMillis * time.Millisecond))
@@ -208,7 +222,11 @@
 		return false
 	}
 	deadline := figseam.DeadlineAt(t.began.Add(time.Duration(route.TimeoutMillis) * time.Millisecond))
-	t.request = request.WithBody(body).WithDeadline(deadline)
+	t.request = request.WithDeadline(deadline)
+	if body != nil {
+		t.body = body
+		t.request = t.request.WithBody(body.Bytes())
+	}
 	return true
 }
 
@@ -235,9 +253,9 @@
 	return t.index.Load()
 }
 
-// readBody reads the request body. The status and code are those of the refusal; the
+// readBody reads the request body, which is nil if there is none. The status and code are those of the refusal; the
 // code is empty if the body was read.
-func (t *task) readBody(q *http.Request, limit int64) ([]byte, int, figseam.Code) {
+func (t *task) readBody(q *http.Request, limit int64) (*limiter.Body, int, figseam.Code) {
 	// The deadline is not cleared after a refusal: it also bounds the time for which
 	// net/http reads the rest of the body.
 	_ = t.control.SetReadDeadline(time.Now().Add(bodyReadTimeoutMillis * time.Millisecond))
@@ -248,12 +266,14 @@
 		_ = t.control.SetReadDeadline(time.Time{})
 		return nil, 0, ""
 	}
-	body, err := io.ReadAll(io.LimitReader(q.Body, limit+1))
+	body, err := t.requestMemory.ReadBody(q.Body, int(limit))
 	switch {
+	case errors.Is(err, limiter.ErrBodyTooLarge):
+		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
+	case errors.Is(err, limiter.ErrBudgetExhausted):
+		return nil, http.StatusServiceUnavailable, explainer.BodiesTooLarge
 	case err != nil:
 		return nil, http.StatusBadRequest, explainer.BadRequest
-	case int64(len(body)) > limit:
-		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
 	}
 	_ = t.control.SetReadDeadline(time.Time{})
 	return body, 0, ""
--- a/relayer/responding.go
+++ b/relayer/responding.go
@@ -10,6 +10,7 @@
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/limiter"
 )
 
 const (
@@ -95,17 +96,25 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	// body is nil if the response was not read completely.
+	body *limiter.Body
+}
+
+// release frees the memory of the body.
+func (r bufferedResponse) release() {
+	if r.body != nil {
+		r.body.Release()
+	}
 }
 
 // writeResponse relays an endpoint's response to the caller and logs the request with
 // the code.
 func (t *task) writeResponse(r bufferedResponse, code figseam.Code) {
 	copyEndToEndHeader(t.writer.Header(), r.header)
-	t.writer.Header().Set("Content-Length", strconv.Itoa(len(r.body)))
+	t.writer.Header().Set("Content-Length", strconv.Itoa(r.body.Len()))
 	t.wroteHeader = true
 	t.writer.WriteHeader(r.status)
-	if _, err := t.writer.Write(r.body); err != nil {
+	if _, err := r.body.WriteTo(t.writer); err != nil {
 		t.logDisconnect()
 		return
 	}
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -18,8 +18,11 @@
 	"github.com/figseam/figseam/selector"
 )
 
-// maxEventBytes bounds an event that has a line longer than the read buffer.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds an event, which is held in memory until it is complete.
+const maxEventBytes = 256 << 10
+
+// errEventTooLarge reports an event that is longer than maxEventBytes.
+var errEventTooLarge = errors.New("event of the stream is too large")
 
 // stream is one attempt whose response is a stream of server-sent events.
 type stream struct {
@@ -76,19 +79,20 @@
 		s.attempts+1 < s.route.MaxAttempts && s.Budget.Remaining(s.service) >= 1 {
 		return explainer.EndpointFailed
 	}
-	body, code := readWhole(ctx, r)
+	body, code := s.readWhole(ctx, r)
 	if code != "" {
 		return code
 	}
+	defer body.Release()
 	if s.wroteHeader {
 		return explainer.EndpointFailed
 	}
 	s.status, s.logCode = r.Status, explainer.FailureResponseRelayed
 	copyEndToEndHeader(s.writer.Header(), r.Header)
-	s.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	s.writer.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	s.wroteHeader = true
 	s.writer.WriteHeader(r.Status)
-	_, _ = s.writer.Write(body)
+	_, _ = body.WriteTo(s.writer)
 	return ""
 }
 
@@ -103,9 +107,11 @@
 		if err != nil {
 			return errorCode(ctx, err)
 		}
-		resetTimer()
-		s.inFlight.RecordResponse()
-		s.finishPrefill()
+		if hasData(event) {
+			resetTimer()
+			s.inFlight.RecordResponse()
+			s.finishPrefill()
+		}
 		if !s.relayEvent(r, event) {
 			return explainer.CallerDisconnected
 		}
@@ -168,18 +174,16 @@
 }
 
 // readEvent reads up to the blank line that ends an event. It returns the remaining
-// bytes together with io.EOF. It returns bufio.ErrBufferFull if a line longer than the
-// buffer of r makes the event longer than maxEventBytes.
+// bytes together with io.EOF, and errEventTooLarge for an event that is too long.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var event []byte
 	for {
 		line, err := r.ReadSlice('\n')
 		event = append(event, line...)
 		switch {
+		case len(event) > maxEventBytes:
+			return nil, errEventTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(event) > maxEventBytes {
-				return nil, err
-			}
 			continue
 		case err != nil:
 			return event, err
@@ -189,7 +193,17 @@
 	}
 }
 
-var idField = []byte("id:")
+var (
+	idField       = []byte("id:")
+	dataField     = []byte("data:")
+	nextDataField = []byte("\ndata:")
+)
+
+// hasData reports whether an event has a data field. Without one it is a comment or a blank
+// line, which a stalled engine may send as well.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, nextDataField)
+}
 
 // eventID returns the ID of an event. It reports false if the event has no numeric ID.
 func eventID(event []byte) (int64, bool) {
--- a/table.go
+++ b/table.go
@@ -69,6 +69,9 @@
 	TimeoutMillis       int64
 	LatencyTargetMillis int64
 	MaxEventGapMillis   int64
+	// PatienceMillis is the time without an event after which callers of a stream give up;
+	// 0 if the route has no streams.
+	PatienceMillis int64
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
 	// IsModelRoute reports whether the requests are prompts for model engines.
