rebalancer: a large fleet changes more engines at once while their stage is idle

Cause: a third of the engines begins with prefill. Change: while the stage that loses engines stays below a load of 0.6, up to a quarter of the fleet changes at once; not in fleets of fewer than 20 engines.

--- a/rebalancer/rebalancer.go
+++ b/rebalancer/rebalancer.go
@@ -34,6 +34,13 @@
 	// maxChangingShare is the share of the engines that may change their stage at the same
 	// time. One engine may in any case.
 	maxChangingShare = 0.1
+	// maxIdleChangingShare applies instead while the load of the stage that loses the
+	// engines stays below idleSourceCeiling: engines that change their stage are not missed
+	// there. It does not apply to fleets of fewer than minLargeFleet engines, in which each
+	// engine is a large part of its stage.
+	maxIdleChangingShare = 0.25
+	idleSourceCeiling    = 0.6
+	minLargeFleet        = 20
 	// minLoad is the load of the busier stage below which no engine changes its stage.
 	minLoad            = 0.2
 	minEnginesPerStage = 2
@@ -156,14 +163,29 @@
 		sourceLoad, targetLoad = l.decodeLoad, l.prefillLoad(current.prefill)
 	}
 	changing := len(l.Engines) - servingCount(l.Engines)
-	limit := max(1, int(maxChangingShare*float64(len(l.Engines)))) - changing
+	limit, idleLimit := concurrentChangeLimits(len(l.Engines))
 	n := 0
-	for n < min(limit, source-minEnginesPerStage) && sourceLoad(serving-n-1)/max(1, targetLoad) <= sourceCeiling {
+	for n < source-minEnginesPerStage {
+		load := sourceLoad(serving-n-1) / max(1, targetLoad)
+		withinLimit := n < limit-changing || (n < idleLimit-changing && load <= idleSourceCeiling)
+		if load > sourceCeiling || !withinLimit {
+			break
+		}
 		n++
 	}
 	return n
 }
 
+// concurrentChangeLimits returns the number of engines of a fleet that may change their
+// stage at the same time, in general and while the stage that loses them is idle.
+func concurrentChangeLimits(engines int) (limit, idleLimit int) {
+	limit = max(1, int(maxChangingShare*float64(engines)))
+	if engines < minLargeFleet {
+		return limit, limit
+	}
+	return limit, int(maxIdleChangingShare * float64(engines))
+}
+
 // stageEngines returns the engines of a stage that are not draining.
 func (l Load) stageEngines(stage figseam.EndpointStage) []Engine {
 	var engines []Engine
