connector, relayer: match responses to calls without a request ID

Cause: reservations, releases and queries bear no request ID, went over connections on which requests had gone before and accepted any response. A late second copy of an earlier answer was taken for theirs. Change: such calls have connections of their own; a reservation that an engine has confirmed before is taken for a repeated response, and the connection is closed. Lists of cached parts may be 1 MiB: they were cut at 64 KiB without an error.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -55,11 +55,22 @@
 	Header http.Header
 	Body   []byte
 	// IDHeader and ID are the name and value of the header that the response must
-	// repeat. With an empty IDHeader every response is accepted.
+	// repeat. With an empty IDHeader every response is accepted. Such a request never uses
+	// a connection that carried a request with an ID, since a late response to that one
+	// could not be told from its own.
 	IDHeader string
 	ID       string
 }
 
+// idleKey identifies the idle connections that a request may use.
+type idleKey struct {
+	address string
+	// matched is true for requests with an ID.
+	matched bool
+}
+
+func (r Request) idleKey() idleKey { return idleKey{address: r.Address, matched: r.IDHeader != ""} }
+
 // Response is an endpoint's response. The caller must call Close.
 type Response struct {
 	Status int
@@ -78,7 +89,7 @@
 
 	// mu guards everything below.
 	mu     sync.Mutex
-	idle   map[string][]*conn
+	idle   map[idleKey][]*conn
 	opened uint64
 }
 
@@ -109,7 +120,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Connector{dial: dial, idle: map[string][]*conn{}}
+	return &Connector{dial: dial, idle: map[idleKey][]*conn{}}
 }
 
 // OpenedConnections returns the number of connections opened so far.
@@ -142,7 +153,7 @@
 }
 
 func (x *exchange) connect(ctx context.Context) error {
-	if k := x.connector.popIdle(x.request.Address); k != nil {
+	if k := x.connector.popIdle(x.request.idleKey()); k != nil {
 		x.conn = k
 		return nil
 	}
@@ -161,16 +172,16 @@
 
 // popIdle returns an idle connection that can be reused, or nil, and closes those
 // that cannot.
-func (c *Connector) popIdle(address string) *conn {
+func (c *Connector) popIdle(key idleKey) *conn {
 	for {
 		c.mu.Lock()
-		all := c.idle[address]
+		all := c.idle[key]
 		if len(all) == 0 {
 			c.mu.Unlock()
 			return nil
 		}
 		k := all[len(all)-1]
-		c.idle[address] = all[:len(all)-1]
+		c.idle[key] = all[:len(all)-1]
 		c.mu.Unlock()
 		if time.Now().Before(k.idleDeadline) && k.reader.Buffered() == 0 && isReusable(k.Conn) {
 			return k
@@ -262,6 +273,10 @@
 	return n, err
 }
 
+// Discard prevents the reuse of the connection, because the response turned out to belong
+// to another request.
+func (r *Response) Discard() { r.exchange.reusable = false }
+
 // Close ends the exchange. The connection is kept only if the body was read to its end,
 // and reused only if no further bytes have arrived on it.
 func (r *Response) Close() {
@@ -275,7 +290,7 @@
 		return
 	}
 	x.conn.idleDeadline = time.Now().Add(idleTimeout(x.keepAlive))
-	x.connector.pushIdle(x.request.Address, x.conn)
+	x.connector.pushIdle(x.request.idleKey(), x.conn)
 }
 
 func (x *exchange) writeSucceeded() bool {
@@ -292,14 +307,14 @@
 	_ = x.conn.Close()
 }
 
-func (c *Connector) pushIdle(address string, k *conn) {
+func (c *Connector) pushIdle(key idleKey, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[address]) >= maxIdlePerAddress {
+	if len(c.idle[key]) >= maxIdlePerAddress {
 		_ = k.Close()
 		return
 	}
-	c.idle[address] = append(c.idle[address], k)
+	c.idle[key] = append(c.idle[key], k)
 }
 
 // CloseIdle closes the idle connections whose timeout has passed and those to addresses
@@ -308,8 +323,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	for address, all := range c.idle {
-		keepAddress := keep(address)
+	for key, all := range c.idle {
+		keepAddress := keep(key.address)
 		kept := all[:0]
 		for _, k := range all {
 			if keepAddress && now.Before(k.idleDeadline) {
@@ -319,9 +334,9 @@
 			_ = k.Close()
 		}
 		if len(kept) == 0 {
-			delete(c.idle, address)
+			delete(c.idle, key)
 			continue
 		}
-		c.idle[address] = kept
+		c.idle[key] = kept
 	}
 }
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -120,6 +120,37 @@
 	}
 }
 
+// TestRequestWithoutIDUsesNoConnectionOfRequestsWithID guards against a late second copy of
+// a response: it would be taken for the response to a request that has no ID to compare.
+func TestRequestWithoutIDUsesNoConnectionOfRequestsWithID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own := "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+		dial := scriptedDial(t, completeResponse, completeResponse+own)
+		opened := 0
+		c := connector.New(func(ctx context.Context, network, address string) (net.Conn, error) {
+			if opened++; opened == 2 {
+				return scriptedDial(t, own, own)(ctx, network, address)
+			}
+			return dial(ctx, network, address)
+		})
+		control := newRequest("")
+		control.IDHeader = ""
+		for _, step := range []struct {
+			request connector.Request
+			body    string
+		}{{newRequest("1"), "ok"}, {control, "own"}, {control, "own"}} {
+			r, err := c.Do(t.Context(), step.request)
+			require.NoError(t, err)
+			body, err := io.ReadAll(r)
+			require.NoError(t, err)
+			require.Equal(t, step.body, string(body))
+			r.Close()
+		}
+		require.EqualValues(t, 2, c.OpenedConnections())
+		c.CloseIdle(func(string) bool { return false })
+	})
+}
+
 func TestFailedDialReturnsErrNotSent(t *testing.T) {
 	c := connector.New(func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") })
 	_, err := c.Do(t.Context(), newRequest("1"))
--- a/relayer/cached.go
+++ b/relayer/cached.go
@@ -125,7 +125,7 @@
 // the engine is unreachable, responds with a status other than 200, or with an invalid
 // body.
 func (r *Relayer) queryCache(ctx context.Context, e figseam.ListedEndpoint) ([]figseam.PromptPart, error) {
-	status, body, err := r.controlCall(ctx, e, http.MethodGet, r.Codec.CachedPartsPath(), nil)
+	status, body, err := r.doControl(ctx, e, controlCall{method: http.MethodGet, target: r.Codec.CachedPartsPath()})
 	if err != nil {
 		return nil, err
 	}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -19,9 +18,9 @@
 	// maxBufferedBytes the memory of all responses that are.
 	maxResponseBytes = 4 << 20
 	maxBufferedBytes = 6 << 20
-	// maxControlResponseBytes bounds the response to a control call; the rest is
-	// ignored.
-	maxControlResponseBytes = 64 << 10
+	// maxControlResponseBytes bounds the response to a control call. An engine's list of
+	// cached prompt parts is the longest one.
+	maxControlResponseBytes = 1 << 20
 	// releaseTimeoutMillis is the timeout of a release call, whose result no request
 	// waits for.
 	releaseTimeoutMillis = 1000
@@ -57,7 +56,7 @@
 	switch {
 	case errors.Is(err, connector.ErrNotSent):
 		return explainer.ConnectFailed
-	case errors.Is(err, connector.ErrMismatchedResponse):
+	case errors.Is(err, connector.ErrMismatchedResponse), errors.Is(err, errReservationRepeated):
 		return explainer.ResponseMismatch
 	case errors.Is(err, limiter.ErrHeadTooLarge):
 		return explainer.HeadTooLarge
@@ -97,22 +96,44 @@
 	return explainer.CallerDisconnected
 }
 
-// controlCall makes a call that does not relay a caller's request, such as a
-// reservation. It returns the response's status and body.
-func (r *Relayer) controlCall(ctx context.Context, e figseam.ListedEndpoint, method, target string, body []byte) (int, []byte, error) {
+// controlCall is a call that does not relay a caller's request, such as a reservation.
+// Its response bears no ID.
+type controlCall struct {
+	method string
+	target string
+	body   []byte
+	// accept, if set, returns an error if the response cannot be the one to this call.
+	accept func(status int, body []byte) error
+}
+
+// doControl makes a control call. It returns the response's status and body. If the
+// response is not accepted or is too long, the connection is not used again, since the
+// response to this call may still come on it.
+func (r *Relayer) doControl(ctx context.Context, e figseam.ListedEndpoint, call controlCall) (status int, body []byte, err error) {
 	header := http.Header{}
-	if len(body) > 0 {
+	if len(call.body) > 0 {
 		header.Set("Content-Type", "application/json")
 	}
 	response, err := r.Connector.Do(ctx, connector.Request{
-		Address: e.Address, Method: method, Target: target, Host: e.Address, Header: header, Body: body,
+		Address: e.Address, Method: call.method, Target: call.target, Host: e.Address, Header: header, Body: call.body,
 	})
 	if err != nil {
 		return 0, nil, err
 	}
 	defer response.Close()
-	responseBody, err := io.ReadAll(io.LimitReader(response, maxControlResponseBytes))
-	return response.Status, responseBody, err
+	buffered, err := r.responseMemory.ReadBody(response, maxControlResponseBytes)
+	if err != nil {
+		return response.Status, nil, err
+	}
+	defer buffered.Release()
+	body = buffered.Bytes()
+	if call.accept != nil {
+		if err := call.accept(response.Status, body); err != nil {
+			response.Discard()
+			return response.Status, body, err
+		}
+	}
+	return response.Status, body, nil
 }
 
 // releaseAsync frees a resource at an endpoint by a DELETE request. It does not wait
@@ -121,7 +142,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeoutMillis*time.Millisecond)
 		defer cancel()
-		if _, _, err := t.controlCall(ctx, e, http.MethodDelete, target, nil); err != nil {
+		if _, _, err := t.doControl(ctx, e, controlCall{method: http.MethodDelete, target: target}); err != nil {
 			t.Log.Debug().Err(err).Str("endpoint", e.ID).Str("target", target).Msg("cannot release the resource at the endpoint")
 		}
 	}()
--- a/relayer/placing.go
+++ b/relayer/placing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -128,20 +129,29 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, reserveTimeoutMillis*time.Millisecond, errAttemptTimeout)
 	defer cancel()
 	target, body := t.Codec.EncodeReservation(t.expectedTokens(), spec.MaxReservationMillis)
-	status, responseBody, err := t.controlCall(ctx, p.choice.Candidate.Endpoint, http.MethodPost, target, body)
+	e := p.choice.Candidate.Endpoint
+	accept := func(status int, body []byte) error {
+		if status != http.StatusOK {
+			return nil
+		}
+		id, err := t.Codec.DecodeReservationID(body)
+		if err != nil {
+			return errInvalidReservation
+		}
+		p.reservationID = id
+		return t.reservations.record(e, id)
+	}
+	status, _, err := t.doControl(ctx, e, controlCall{method: http.MethodPost, target: target, body: body, accept: accept})
 	switch {
+	case errors.Is(err, errInvalidReservation):
+		return explainer.InvalidResponse
 	case err != nil:
+		p.reservationID = ""
 		return errorCode(ctx, err)
 	case status == http.StatusServiceUnavailable:
 		return explainer.EndpointRejected
-	case status != http.StatusOK:
-		// An engine without support for reservations still accepts the request.
-		return ""
-	}
-	p.reservationID, err = t.Codec.DecodeReservationID(responseBody)
-	if err != nil {
-		return explainer.InvalidResponse
 	}
+	// An engine without support for reservations still accepts the request.
 	return ""
 }
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -71,6 +71,7 @@
 	residence        residenceMean
 	prefillEstimator selector.PrefillEstimator
 	cacheLocator     *locator.Locator
+	reservations     recentReservations
 	// requestMemory and responseMemory hold the bodies that are read completely.
 	requestMemory  *limiter.Budget
 	responseMemory *limiter.Budget
