recoverer: a panic is confined to the message, request or task that caused it

Cause: a panic in the handler of a peer's message, in a periodic task, in a poll or a read of the list ended the process; those of HTTP handlers were caught by net/http alone, without a structured line or a count. Heads of requests were bounded by 1 MiB a connection. Change: package recoverer logs the panic with its stack, counts it (figseam_panics) and turns it into an error; heads of requests are bounded by 128 KiB. Before: TestPanicOfHandlerReachesOnlyItsCaller ended the test process. After: passes.

--- a/distributor/subscriber.go
+++ b/distributor/subscriber.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/recoverer"
 )
 
 const (
@@ -87,7 +88,13 @@
 	go func() {
 		defer close(ended)
 		for ctx.Err() == nil {
-			f.step(ctx)
+			err := recoverer.Call(f.log, "poll of a voter", func() error {
+				f.step(ctx)
+				return nil
+			})
+			if err != nil {
+				f.waitBeforeRetry(ctx)
+			}
 		}
 	}()
 	return ended
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -17,6 +17,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/recoverer"
 )
 
 // Source reads the platform's list.
@@ -115,7 +116,11 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeoutMillis*time.Millisecond)
 	defer cancel()
 	startedAt := time.Now()
-	endpoints, err := l.source.Read(ctx)
+	var endpoints []figseam.ListedEndpoint
+	err := recoverer.Call(l.log, "read of the endpoint list", func() (err error) {
+		endpoints, err = l.source.Read(ctx)
+		return err
+	})
 	l.mu.Lock()
 	wasFailing := l.readFailing
 	l.readFailing = err != nil
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/recoverer"
 )
 
 // Path is the URL path of [Messenger.Handler].
@@ -61,16 +62,20 @@
 // the other in the goroutine that reads the connection, so serve must not block if it
 // serves such messages.
 func Handle[Req, Resp any](m *Messenger, kind string, serve func(ctx context.Context, from figseam.InstanceID, request Req) (Resp, error)) {
-	m.handlers[kind] = func(ctx context.Context, from figseam.InstanceID, body []byte) ([]byte, error) {
-		var request Req
-		if err := cbor.Unmarshal(body, &request); err != nil {
-			return nil, eris.Wrapf(err, "decode %s", kind)
-		}
-		response, err := serve(ctx, from, request)
-		if err != nil {
-			return nil, err
-		}
-		return cbor.Marshal(response)
+	m.handlers[kind] = func(ctx context.Context, from figseam.InstanceID, body []byte) (encoded []byte, err error) {
+		err = recoverer.Call(m.log, kind, func() error {
+			var request Req
+			if err := cbor.Unmarshal(body, &request); err != nil {
+				return eris.Wrapf(err, "decode %s", kind)
+			}
+			response, err := serve(ctx, from, request)
+			if err != nil {
+				return err
+			}
+			encoded, err = cbor.Marshal(response)
+			return err
+		})
+		return encoded, err
 	}
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/messenger"
+	"github.com/figseam/figseam/recoverer"
 )
 
 // Limits of require.Eventually. The timeout is long, since only failing tests reach it.
@@ -51,6 +52,10 @@
 	messenger.Handle(p.server, "refuse", func(context.Context, figseam.InstanceID, int) (int, error) {
 		return 0, figseam.NewRefusal("reason", "detail").WithRetryAt(figseam.DeadlineAfterMillis(5000))
 	})
+	messenger.Handle(p.server, "panic", func(context.Context, figseam.InstanceID, []int) (int, error) {
+		var none []int
+		return none[0], nil
+	})
 	messenger.Handle(p.server, "wait", func(ctx context.Context, _ figseam.InstanceID, _ int) (int, error) {
 		p.started <- struct{}{}
 		<-ctx.Done()
@@ -141,6 +146,22 @@
 	require.Error(t, err)
 }
 
+// TestPanicOfHandlerReachesOnlyItsCaller checks that a message whose handler panics neither
+// ends the process nor the connection.
+func TestPanicOfHandlerReachesOnlyItsCaller(t *testing.T) {
+	p := newPair(t)
+	before := recoverer.Count()
+	for range 3 {
+		_, err := messenger.Call[[]int, int](t.Context(), p.caller, p.address, "panic", nil)
+		require.ErrorContains(t, err, "panic")
+		messenger.Send(p.caller, p.address, "panic", []int{1})
+		n, err := messenger.Call[int, int](t.Context(), p.caller, p.address, "double", 4)
+		require.NoError(t, err)
+		require.Equal(t, 8, n)
+	}
+	require.Equal(t, before+6, recoverer.Count())
+}
+
 func TestSentMessagesArriveInOrder(t *testing.T) {
 	p := newPair(t)
 	for i := range 500 {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -132,7 +132,7 @@
 	e.servePeers(listeners)
 	e.serve(listeners[e.settings.ReadinessAddress], platform.ReadinessHandler(e.ready))
 	callers := e.serve(listeners[e.settings.CallerAddress], e.relayer)
-	stopped := []<-chan struct{}{e.list.Run(tasks), e.subscriber.Run(tasks), runPeriodically(tasks, loadExchangeIntervalMillis, e.exchangeLoad), runPeriodically(tasks, cleanupIntervalMillis, e.cleanUp)}
+	stopped := []<-chan struct{}{e.list.Run(tasks), e.subscriber.Run(tasks), runPeriodically(tasks, e.log, "load exchange", loadExchangeIntervalMillis, e.exchangeLoad), runPeriodically(tasks, e.log, "clean-up", cleanupIntervalMillis, e.cleanUp)}
 	e.log.Info().Str("callers", e.settings.CallerAddress).Msg("started")
 	<-ctx.Done()
 	e.draining.Store(true)
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -31,6 +31,7 @@
 	"github.com/figseam/figseam/meter"
 	"github.com/figseam/figseam/naiveplacer"
 	"github.com/figseam/figseam/publisher"
+	"github.com/figseam/figseam/recoverer"
 	"github.com/figseam/figseam/replicator"
 	"github.com/figseam/figseam/scheduler"
 	"github.com/figseam/figseam/watcher"
@@ -362,8 +363,9 @@
 
 func (i *Instance) serve(l net.Listener, h http.Handler) {
 	s := &http.Server{
-		Handler:           h,
+		Handler:           recoverer.Handler(i.log, h),
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       idleTimeoutMillis * time.Millisecond,
 	}
 	i.servers = append(i.servers, s)
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -19,6 +19,7 @@
 	"github.com/figseam/figseam/meter"
 	"github.com/figseam/figseam/platform"
 	"github.com/figseam/figseam/recorder"
+	"github.com/figseam/figseam/recoverer"
 )
 
 const (
@@ -31,6 +32,8 @@
 	// heap, in percent, that starts a collection.
 	memoryLimitRatio = 0.6
 	gcPercent        = 50
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 128 << 10
 	// listDialTimeoutMillis limits the time to open a connection to the platform.
 	listDialTimeoutMillis = 500
 )
@@ -58,6 +61,7 @@
 	b := &base{settings: settings, recorder: recorder.New(out), meter: meter.NewRelayMeter()}
 	b.log = zerolog.New(b.recorder).Level(level).With().Timestamp().Str("instance", settings.Instance).Str("role", role).Logger()
 	b.messenger = messenger.New(settings.PeerID(), nil, b.log)
+	b.meter.RegisterGauge("figseam_panics", "Panics that were recovered since the start.", func() float64 { return float64(recoverer.Count()) })
 	return b
 }
 
@@ -97,7 +101,7 @@
 
 // serve serves HTTP on a listener until close is called.
 func (b *base) serve(l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond, IdleTimeout: idleTimeoutMillis * time.Millisecond}
+	s := &http.Server{Handler: recoverer.Handler(b.log, h), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond, IdleTimeout: idleTimeoutMillis * time.Millisecond}
 	b.servers = append(b.servers, s)
 	go func() { _ = s.Serve(l) }()
 	return s
@@ -133,9 +137,10 @@
 	return string(data)
 }
 
-// runPeriodically calls task at intervals until ctx is done. It returns a channel that
-// is closed when the last call has returned.
-func runPeriodically(ctx context.Context, intervalMillis int64, task func(ctx context.Context)) <-chan struct{} {
+// runPeriodically calls task at intervals until ctx is done. A call that panics is logged
+// under the task's name. It returns a channel that is closed when the last call has
+// returned.
+func runPeriodically(ctx context.Context, log zerolog.Logger, name string, intervalMillis int64, task func(ctx context.Context)) <-chan struct{} {
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -146,7 +151,10 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
-				task(ctx)
+				_ = recoverer.Call(log, name, func() error {
+					task(ctx)
+					return nil
+				})
 			}
 		}
 	}()
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -179,7 +179,7 @@
 	v.servePeers(listeners)
 	v.serve(listeners[v.settings.OperatorAddress], platform.OperatorHandler(v.store, v.log))
 	logStopped := v.node.Run(tasks)
-	stopped := []<-chan struct{}{v.list.Run(tasks), v.subscriber.Run(tasks), runPeriodically(tasks, loadExchangeIntervalMillis, v.sendLoad), runPeriodically(tasks, stageCheckIntervalMillis, newStageManager(v).changeStages)}
+	stopped := []<-chan struct{}{v.list.Run(tasks), v.subscriber.Run(tasks), runPeriodically(tasks, v.log, "load exchange", loadExchangeIntervalMillis, v.sendLoad), runPeriodically(tasks, v.log, "stage changes", stageCheckIntervalMillis, newStageManager(v).changeStages)}
 	v.log.Info().Str("operators", v.settings.OperatorAddress).Str("replica", v.node.Self().Identity).Msg("started")
 	err = <-logStopped
 	v.log.Info().Err(err).Msg("ended")
