aggregator: sums are updated with each report

Change: a report is subtracted and added again; expired reports are dropped every 50 ms. A randomized test compares the sums with a naive sum.

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -8,14 +8,19 @@
 package aggregator
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/figseam/figseam"
 )
 
-// maxReportAgeMillis is the age at which a report expires.
-const maxReportAgeMillis = 1500
+const (
+	// maxReportAgeMillis is the age at which a report expires.
+	maxReportAgeMillis = 1500
+	// sweepIntervalMillis is the interval at which expired reports are dropped.
+	sweepIntervalMillis = 50
+)
 
 // Load is the usage of endpoints and the demand for services by one or more instances.
 type Load struct {
@@ -33,13 +38,18 @@
 	Load     Load               `cbor:"2,keyasint"`
 }
 
-// Store holds the reports of instances and voters and sums them. It is safe for concurrent
-// use.
+// Store holds the reports of instances and voters and sums them. The sums are updated with
+// each report, so that the cost of a report does not grow with the number of instances. It
+// is safe for concurrent use.
 type Store struct {
 	// mu guards everything below.
 	mu        sync.Mutex
 	instances map[figseam.InstanceID]receivedReport
 	voters    map[figseam.InstanceID]receivedReport
+	// local is the sum of instances, all that of instances and voters.
+	local       *Total
+	all         *Total
+	nextSweepAt time.Time
 }
 
 type receivedReport struct {
@@ -47,61 +57,77 @@
 	receivedAt time.Time
 }
 
+func (r receivedReport) expired(now time.Time) bool {
+	return now.Sub(r.receivedAt) > maxReportAgeMillis*time.Millisecond
+}
+
 // New returns a store without reports.
 func New() *Store {
-	return &Store{instances: map[figseam.InstanceID]receivedReport{}, voters: map[figseam.InstanceID]receivedReport{}}
+	return &Store{instances: map[figseam.InstanceID]receivedReport{}, voters: map[figseam.InstanceID]receivedReport{}, local: newTotal(), all: newTotal()}
 }
 
 // ExchangeReport stores the report of an instance and returns the sum of all others.
 func (s *Store) ExchangeReport(r Report) Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.instances[r.Instance] = receivedReport{load: r.Load, receivedAt: time.Now()}
-	total := newTotal()
-	for id, received := range s.instances {
-		if id != r.Instance {
-			total.add(received)
-		}
+	now := time.Now()
+	s.dropExpired(now)
+	if old, ok := s.instances[r.Instance]; ok {
+		s.local.subtract(old.load)
+		s.all.subtract(old.load)
 	}
-	for _, r := range s.voters {
-		total.add(r)
-	}
-	return total.load()
+	others := s.all.load()
+	s.instances[r.Instance] = receivedReport{load: r.Load, receivedAt: now}
+	s.local.add(r.Load)
+	s.all.add(r.Load)
+	return others
 }
 
 // MergePeer stores the sum that another voter sent.
 func (s *Store) MergePeer(r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.all.subtract(s.voters[r.Instance].load)
 	s.voters[r.Instance] = receivedReport{load: r.Load, receivedAt: time.Now()}
+	s.all.add(r.Load)
 }
 
-// LocalSum returns the sum of the instances that report to this voter, and drops expired
-// reports.
+// LocalSum returns the sum of the instances that report to this voter.
 func (s *Store) LocalSum() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := newTotal()
-	for id, r := range s.instances {
-		if !total.add(r) {
-			delete(s.instances, id)
-		}
-	}
-	return total.load()
+	s.dropExpired(time.Now())
+	return s.local.load()
 }
 
 // Total returns the load of all instances.
 func (s *Store) Total() *Total {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	total := newTotal()
-	for _, r := range s.instances {
-		total.add(r)
+	s.dropExpired(time.Now())
+	return s.all.clone()
+}
+
+// dropExpired drops expired reports, at most once every sweepIntervalMillis. The caller
+// holds mu.
+func (s *Store) dropExpired(now time.Time) {
+	if now.Before(s.nextSweepAt) {
+		return
+	}
+	s.nextSweepAt = now.Add(sweepIntervalMillis * time.Millisecond)
+	for id, r := range s.instances {
+		if r.expired(now) {
+			s.local.subtract(r.load)
+			s.all.subtract(r.load)
+			delete(s.instances, id)
+		}
 	}
-	for _, r := range s.voters {
-		total.add(r)
+	for id, r := range s.voters {
+		if r.expired(now) {
+			s.all.subtract(r.load)
+			delete(s.voters, id)
+		}
 	}
-	return total
 }
 
 // Total is a sum of loads, keyed by the hashes of endpoint IDs and service names.
@@ -124,22 +150,54 @@
 	return t.demand[figseam.HashService(service)]
 }
 
-// add adds a report and returns true, or returns false if the report has expired.
-func (t *Total) add(report receivedReport) bool {
-	if time.Since(report.receivedAt) > maxReportAgeMillis*time.Millisecond {
-		return false
+func (t *Total) add(l Load) {
+	for _, u := range l.Usage {
+		t.addUsage(u)
+	}
+	for _, d := range l.Demand {
+		t.addDemand(d)
+	}
+}
+
+// subtract removes a load that was added before.
+func (t *Total) subtract(l Load) {
+	for _, u := range l.Usage {
+		t.addUsage(u.Negate())
+	}
+	for _, d := range l.Demand {
+		t.addDemand(d.Negate())
 	}
-	for _, u := range report.load.Usage {
-		t.usage[u.Endpoint] = t.usage[u.Endpoint].Add(u)
+}
+
+// addUsage adds a usage. Endpoints without usage are dropped.
+func (t *Total) addUsage(u figseam.EndpointUsage) {
+	sum := t.usage[u.Endpoint].Add(u)
+	if sum == (figseam.EndpointUsage{Endpoint: u.Endpoint}) {
+		delete(t.usage, u.Endpoint)
+		return
 	}
-	for _, d := range report.load.Demand {
-		t.demand[d.Service] = t.demand[d.Service].Add(d)
+	t.usage[u.Endpoint] = sum
+}
+
+// addDemand adds a demand. Services without demand are dropped.
+func (t *Total) addDemand(d figseam.ServiceDemand) {
+	sum := t.demand[d.Service].Add(d)
+	if sum == (figseam.ServiceDemand{Service: d.Service}) {
+		delete(t.demand, d.Service)
+		return
 	}
-	return true
+	t.demand[d.Service] = sum
+}
+
+func (t *Total) clone() *Total {
+	return &Total{usage: maps.Clone(t.usage), demand: maps.Clone(t.demand)}
 }
 
 func (t *Total) load() Load {
 	var l Load
+	if len(t.usage) > 0 {
+		l.Usage = make([]figseam.EndpointUsage, 0, len(t.usage))
+	}
 	for _, u := range t.usage {
 		l.Usage = append(l.Usage, u)
 	}
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -1,11 +1,13 @@
 package aggregator_test
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/aggregator"
@@ -52,3 +54,79 @@
 		require.Zero(t, totalTokens(t, store.ExchangeReport(aggregator.Report{Instance: "a"})))
 	})
 }
+
+// naiveSum sums the reports of the last 1.5 s anew, without the one of an instance.
+type naiveSum struct {
+	reports map[figseam.InstanceID]aggregator.Report
+	at      map[figseam.InstanceID]time.Time
+}
+
+func (n naiveSum) without(id figseam.InstanceID) map[uint32]int {
+	tokens := map[uint32]int{}
+	for other, r := range n.reports {
+		if other == id || time.Since(n.at[other]) > 1500*time.Millisecond {
+			continue
+		}
+		for _, u := range r.Load.Usage {
+			tokens[u.Endpoint] += u.MemoryTokens
+		}
+	}
+	return tokens
+}
+
+// TestSumsEqualNaiveSums compares the sums, which are updated with each report, with sums
+// that are computed anew, while reports change, stop and expire.
+func TestSumsEqualNaiveSums(t *testing.T) {
+	ids := []figseam.InstanceID{"a", "b", "c", "voter 1", "voter 2"}
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadlineTB{t}, func(t *rapid.T) {
+			store := aggregator.New()
+			oracle := naiveSum{reports: map[figseam.InstanceID]aggregator.Report{}, at: map[figseam.InstanceID]time.Time{}}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				// Expiry is checked at intervals, so the times of reports keep clear of it.
+				time.Sleep(time.Duration(rapid.SampledFrom([]int{60, 400}).Draw(t, "pause")) * time.Millisecond)
+				id := rapid.SampledFrom(ids).Draw(t, "instance")
+				r := aggregator.Report{Instance: id}
+				for _, e := range rapid.SliceOfNDistinct(rapid.Uint32Range(1, 4), 0, 4, rapid.ID[uint32]).Draw(t, "endpoints") {
+					r.Load.Usage = append(r.Load.Usage, figseam.EndpointUsage{Endpoint: e, Requests: 1, MemoryTokens: rapid.IntRange(1, 9).Draw(t, "tokens")})
+				}
+				want := oracle.without(id)
+				oracle.reports[id], oracle.at[id] = r, time.Now()
+				if len(id) > 1 {
+					store.MergePeer(r)
+					continue
+				}
+				got := map[uint32]int{}
+				for _, u := range store.ExchangeReport(r).Usage {
+					got[u.Endpoint] = u.MemoryTokens
+				}
+				require.Equal(t, want, got)
+			}
+		})
+	})
+}
+
+// noDeadlineTB hides the type *testing.T from rapid, which otherwise calls its method
+// Deadline. That method must not be called within a synctest bubble.
+type noDeadlineTB struct{ *testing.T }
+
+// BenchmarkExchangeReport measures one report at a voter to which n instances report, each
+// with requests at eight of 156 endpoints.
+func BenchmarkExchangeReport(b *testing.B) {
+	for _, n := range []int{39, 195, 640} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			store := aggregator.New()
+			reports := make([]aggregator.Report, n)
+			for i := range reports {
+				reports[i].Instance = figseam.InstanceID(strconv.Itoa(i))
+				for j := range 8 {
+					reports[i].Load.Usage = append(reports[i].Load.Usage, figseam.EndpointUsage{Endpoint: uint32((7*i + 19*j) % 156), Requests: 1, MemoryTokens: 5000})
+				}
+				store.ExchangeReport(reports[i])
+			}
+			for i := 0; b.Loop(); i++ {
+				store.ExchangeReport(reports[i%n])
+			}
+		})
+	}
+}
--- a/table.go
+++ b/table.go
@@ -166,6 +166,14 @@
 	}
 }
 
+// Negate returns the usage that cancels u in a sum.
+func (u EndpointUsage) Negate() EndpointUsage {
+	return EndpointUsage{
+		Endpoint: u.Endpoint, Requests: -u.Requests, WorkMillis: -u.WorkMillis,
+		MemoryTokens: -u.MemoryTokens, UnreachableFrom: -u.UnreachableFrom,
+	}
+}
+
 // HashEndpoint returns the hash that identifies an endpoint in messages.
 func HashEndpoint(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
 
@@ -193,5 +201,13 @@
 	}
 }
 
+// Negate returns the demand that cancels d in a sum.
+func (d ServiceDemand) Negate() ServiceDemand {
+	return ServiceDemand{
+		Service: d.Service, QueuedTokens: -d.QueuedTokens, OnTimeTokens: -d.OnTimeTokens,
+		OfferedPrefillMillis: -d.OfferedPrefillMillis, OfferedDecodeTokens: -d.OfferedDecodeTokens,
+	}
+}
+
 // HashService returns the hash that identifies a service in messages.
 func HashService(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
