connector, relayer: a request goes on over the connection of its reservation; caches of the own data centre stay in use

Since calls without an ID had connections of their own, a request no longer used the connection that had just carried its reservation, but an older idle one, which may be dead. Change: a request with an ID may use either kind of connection, the one used last. The change uncovered a second cause (TestResumedStreamReusesCachedPrompt failed in 41 of 150 runs): after a failed connection to one engine of the own data centre, the whole data centre was taken for partitioned, and prompts cached there were not fetched but prefilled again. Another data centre can be partitioned from an instance, its own cannot. Ruled out: the rebalancer (fewer than 20 engines), event timeouts (1,980 instead of 2,000 ms).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -174,15 +174,10 @@
 // that cannot.
 func (c *Connector) popIdle(key idleKey) *conn {
 	for {
-		c.mu.Lock()
-		all := c.idle[key]
-		if len(all) == 0 {
-			c.mu.Unlock()
+		k := c.popNewest(key)
+		if k == nil {
 			return nil
 		}
-		k := all[len(all)-1]
-		c.idle[key] = all[:len(all)-1]
-		c.mu.Unlock()
 		if time.Now().Before(k.idleDeadline) && k.reader.Buffered() == 0 && isReusable(k.Conn) {
 			return k
 		}
@@ -190,6 +185,33 @@
 	}
 }
 
+// popNewest returns the idle connection that a request may use and that was used last, or
+// nil. A request with an ID may also use a connection without one: it can tell the
+// responses apart. That a connection has just carried a reservation shows that it works.
+func (c *Connector) popNewest(key idleKey) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if key.matched {
+		unmatched := idleKey{address: key.address}
+		if k := last(c.idle[unmatched]); k != nil && (len(c.idle[key]) == 0 || k.idleDeadline.After(last(c.idle[key]).idleDeadline)) {
+			key = unmatched
+		}
+	}
+	k := last(c.idle[key])
+	if k != nil {
+		c.idle[key] = c.idle[key][:len(c.idle[key])-1]
+	}
+	return k
+}
+
+// last returns the last connection, or nil.
+func last(all []*conn) *conn {
+	if len(all) == 0 {
+		return nil
+	}
+	return all[len(all)-1]
+}
+
 // send writes the request. A long request is written concurrently with the reading of
 // the response, since an endpoint may respond before it has read the whole request.
 func (x *exchange) send() {
--- a/relayer/cached.go
+++ b/relayer/cached.go
@@ -42,12 +42,19 @@
 		return ""
 	}
 	c, ok := t.candidateByID(t.cacheEngine.ID, 0)
-	if !ok || c.DataCentreSuspect {
+	if !ok || t.isPartitioned(c) {
 		return ""
 	}
 	return c.Endpoint.Address
 }
 
+// isPartitioned reports whether an engine may be unreachable because its data centre is
+// partitioned from this instance. That cannot happen within a data centre, where a failed
+// connection says nothing about other engines.
+func (t *task) isPartitioned(c selector.Candidate) bool {
+	return c.DataCentreSuspect && c.Endpoint.DataCentre != t.DataCentre
+}
+
 // cacheEngineID returns the ID of the engine that has the prompt cached; empty for
 // none.
 func (t *task) cacheEngineID() string {
@@ -81,7 +88,7 @@
 	}
 	var engines []figseam.ListedEndpoint
 	for _, c := range t.Tracker.Candidates(t.EndpointList.ServiceEndpoints(t.service), excludeNone, 0, 0) {
-		if !selector.InBackoff(c) && !c.DataCentreSuspect {
+		if !selector.InBackoff(c) && !t.isPartitioned(c) {
 			engines = append(engines, c.Endpoint)
 		}
 	}
