--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -110,7 +110,7 @@
 // Deadline. That method must not be called within a synctest bubble.
 type noDeadlineTB struct{ *testing.T }
 
-// BenchmarkExchangeReport measures one report at a voter to which n instances report, each
+// BenchmarkExchangeReport exchanges reports at a voter to which n instances report, each
 // with requests at eight of 156 endpoints.
 func BenchmarkExchangeReport(b *testing.B) {
 	for _, n := range []int{39, 195, 640} {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -56,8 +56,8 @@
 	Body   []byte
 	// IDHeader and ID are the name and value of the header that the response must
 	// repeat. With an empty IDHeader every response is accepted. Such a request never uses
-	// a connection that carried a request with an ID, since a late response to that one
-	// could not be told from its own.
+	// a connection that carried a request with an ID, since it would accept a late response
+	// to that one as its own.
 	IDHeader string
 	ID       string
 }
--- a/rebalancer/rebalancer_test.go
+++ b/rebalancer/rebalancer_test.go
@@ -111,7 +111,7 @@
 		{"prefill engines idle, and a few engines change already", withChangingEngines(newLoad(20, 36, 3010, 15_800), 5), 9},
 		{"prefill engines idle, decode engines overloaded", newLoad(20, 36, 3010, 40_000), 14},
 		{"prefill engines half idle", newLoad(20, 36, 9000, 40_000), 5},
-		{"dozen of engines", newLoad(6, 6, 500, 6500), 1},
+		{"a dozen engines", newLoad(6, 6, 500, 6500), 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -123,7 +123,7 @@
 // TestLargeFleetChangesAreLimitedPerPlan starts a fleet of 60 engines with far too many
 // prefill engines: no single change reaches the minimum gain, only several together do.
 func TestLargeFleetChangesAreLimitedPerPlan(t *testing.T) {
-	l := newLoad(21, 39, 7000, 33_000)
+	l := newLoad(21, 39, 6300, 33_000)
 	changes := rebalancer.PlanChanges(l)
 	require.Len(t, changes, 6, "a tenth of the engines at once")
 	changed := map[string]bool{}
