--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -102,6 +102,30 @@
 	})
 }
 
+// panickingSource panics on its first read.
+type panickingSource struct{ fakeSource }
+
+func (s *panickingSource) Read(ctx context.Context) ([]figseam.ListedEndpoint, error) {
+	if s.reads.Load() == 0 {
+		s.reads.Add(1)
+		panic("first read")
+	}
+	return s.fakeSource.Read(ctx)
+}
+
+// TestPanicOfReadIsRetried checks that a list whose bytes make the source panic is read again.
+func TestPanicOfReadIsRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := lister.New(&panickingSource{}, func() time.Duration { return 100 * time.Millisecond }, zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := l.Run(ctx)
+		time.Sleep(2 * time.Second)
+		require.True(t, l.Loaded())
+		cancel()
+		<-ended
+	})
+}
+
 func TestSuspendedEndpointIsDrainingUntilDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := startList(t, &fakeSource{ids: []string{"a", "b"}}, 500*time.Millisecond)
