--- a/emulator/hostile.go
+++ b/emulator/hostile.go
@@ -29,10 +29,15 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	s.WriteEndlessly(c)
+}
+
+// WriteEndlessly writes the response until a write fails.
+func (s HostileServer) WriteEndlessly(w io.Writer) {
 	text := strings.Repeat(s.Repeated, 1+hostileWriteBytes/len(s.Repeated))
-	_, err = io.WriteString(c, s.Prefix)
+	_, err := io.WriteString(w, s.Prefix)
 	for err == nil {
-		_, err = io.WriteString(c, text)
+		_, err = io.WriteString(w, text)
 	}
 }
 
