lister, distributor: changes of the list in place of whole lists; a search requests no content

Each change of one endpoint sent the whole list, about 300 KB for 3,003 endpoints, to each entry; an entry without a voter requested configuration and list from all voters at once, 1.5 MB on a link of 10 Mbit/s with a timeout of 0.7 s, and again after that: after all instances were killed none of the replies could arrive. Change: a list remembers which endpoints its last 64 changes concerned and sends those; instances say that they accept changes, so versions before 0.5 get whole lists. A search asks for the status, and for content at one voter after the other, once for each content. Before: TestChangeOfLargeListIsSmall had no counterpart (whole list over 100 KB); TestSearchRequestsContentFromOneVoter: three content replies in place of one. After: under 500 bytes, and one. A randomized test compares merged changes with whole lists.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -38,6 +38,11 @@
 	ListDigest    uint64 `cbor:"5,keyasint,omitempty"`
 	// Subscribers are the subscribers of the requesting instance, if that is a voter.
 	Subscribers []figseam.InstanceID `cbor:"6,keyasint,omitempty"`
+	// AcceptsChanges reports whether the requesting instance can merge the changes of a
+	// list. Instances of versions before 0.5 need whole lists.
+	AcceptsChanges bool `cbor:"7,keyasint,omitempty"`
+	// StatusOnly requests a reply at once that holds neither a configuration nor endpoints.
+	StatusOnly bool `cbor:"8,keyasint,omitempty"`
 }
 
 // PollReply is the reply of a voter.
@@ -52,6 +57,8 @@
 	// SubscriberCount is the number of subscribers of all voters that the replying voter
 	// has recorded.
 	SubscriberCount int `cbor:"6,keyasint"`
+	// ConfigVersion is the version that the voter has. Versions before 0.5 do not set it.
+	ConfigVersion uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Voter is an instance that stores the configuration and votes on its changes.
@@ -95,7 +102,8 @@
 }
 
 // Poll returns once there is a newer configuration than the request names or a list with
-// another digest, after longPollMillis, or at the end of ctx.
+// another digest, after longPollMillis, or at the end of ctx. It returns at once if only
+// the status is requested.
 func (h *Server) Poll(ctx context.Context, r PollRequest) PollReply {
 	h.recordPoll(r)
 	timer := time.NewTimer(longPollMillis * time.Millisecond)
@@ -104,6 +112,9 @@
 		document, documentChanged := h.documents.Current()
 		digest, listChanged := h.list.Digest()
 		newer := document.Version > r.ConfigVersion
+		if r.StatusOnly {
+			return h.status(document.Version)
+		}
 		if newer || digest != r.ListDigest {
 			return h.reply(r, document, newer)
 		}
@@ -119,9 +130,11 @@
 }
 
 func (h *Server) reply(r PollRequest, d keeper.Document, newer bool) PollReply {
-	reply := PollReply{
-		DataCentre: h.self.DataCentre, HasQuorum: h.hasQuorum(), List: h.list.Snapshot(r.ListDigest),
-		Voters: h.Voters(), SubscriberCount: h.SubscriberCount(),
+	reply := h.status(d.Version)
+	if r.AcceptsChanges {
+		reply.List = h.list.Changes(r.ListDigest)
+	} else {
+		reply.List = h.list.Snapshot(r.ListDigest)
 	}
 	if newer {
 		reply.Document = d
@@ -129,6 +142,14 @@
 	return reply
 }
 
+// status returns a reply without a configuration and without endpoints.
+func (h *Server) status(configVersion uint64) PollReply {
+	return PollReply{
+		DataCentre: h.self.DataCentre, HasQuorum: h.hasQuorum(), List: h.list.Metadata(),
+		Voters: h.Voters(), SubscriberCount: h.SubscriberCount(), ConfigVersion: configVersion,
+	}
+}
+
 // recordPoll records the sender's data centre if the sender is a voter, and otherwise the
 // sender as a subscriber. It also records the subscribers that a voter reports.
 func (h *Server) recordPoll(r PollRequest) {
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -37,6 +38,8 @@
 	version         uint64
 	appliedVersions []uint64
 	calls           map[figseam.InstanceID]int
+	// contentReplies counts the replies with a configuration or endpoints.
+	contentReplies  int
 	subscriberCount int
 }
 
@@ -69,7 +72,13 @@
 		<-ctx.Done()
 		return distributor.PollReply{}, errors.New("silent")
 	}
-	return v.server.Poll(ctx, q), nil
+	reply := v.server.Poll(ctx, q)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if reply.Document.Version > 0 || len(reply.List.Endpoints) > 0 {
+		r.contentReplies++
+	}
+	return reply, nil
 }
 
 func (r *testCluster) held() (version, digest uint64) {
@@ -175,3 +184,29 @@
 		require.Equal(t, 1, r.subscriberCount)
 	})
 }
+
+// TestSearchRequestsContentFromOneVoter replays the restart of all instances: each entry asks
+// all voters at once, none of which has a quorum at first. If all sent their content, the
+// entry's link could be too slow for any of the replies.
+func TestSearchRequestsContentFromOneVoter(t *testing.T) {
+	for _, hasQuorum := range []bool{true, false} {
+		t.Run(fmt.Sprintf("quorum %v", hasQuorum), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				r, ended := newTestCluster(ctx)
+				r.mu.Lock()
+				r.putVersion(7)
+				for _, v := range r.voters {
+					v.hasQuorum = hasQuorum
+				}
+				r.mu.Unlock()
+				time.Sleep(5 * time.Second)
+				cancel()
+				<-ended
+				version, _ := r.held()
+				require.EqualValues(t, 7, version)
+				require.Equal(t, 1, r.contentReplies)
+			})
+		})
+	}
+}
--- a/distributor/subscriber.go
+++ b/distributor/subscriber.go
@@ -50,7 +50,9 @@
 	// The fields below are used by the goroutine of Run only.
 	voters []Voter
 	// dataCentres holds the known data centres of voters.
-	dataCentres      map[figseam.InstanceID]figseam.DataCentre
+	dataCentres map[figseam.InstanceID]figseam.DataCentre
+	// polledContent holds the content for which voters without a quorum were polled.
+	polledContent    map[figseam.InstanceID]content
 	current          figseam.InstanceID
 	currentIsLocal   bool
 	connected        bool
@@ -70,7 +72,7 @@
 ) *Subscriber {
 	return &Subscriber{
 		self: self, call: call, seeds: seeds, held: held, onReply: onReply, subscribers: subscribers, log: log,
-		dataCentres: map[figseam.InstanceID]figseam.DataCentre{},
+		dataCentres: map[figseam.InstanceID]figseam.DataCentre{}, polledContent: map[figseam.InstanceID]content{},
 	}
 }
 
@@ -140,28 +142,25 @@
 	return f.current
 }
 
-// searchVoters polls all known voters concurrently, selects the first that replies with a
-// quorum, and reports whether there was one. Replies without a quorum are applied as well,
-// since in a partitioned data centre they hold the newest configuration that can be
-// reached. A voter polls no other voter than the leader and does not search.
+// searchVoters requests the status of all known voters concurrently, selects the first
+// that replies with a quorum, and reports whether there was one. Only the status is
+// requested: the configuration and the list of all voters at once could exceed the
+// capacity of the link, so that no reply would arrive in time. A voter polls no other voter
+// than the leader and does not search.
 func (f *Subscriber) searchVoters(ctx context.Context) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	type result struct {
-		from  figseam.InstanceID
-		reply PollReply
-		err   error
-	}
 	candidates := f.candidates()
 	if f.self.IsVoter {
 		candidates = nil
 	}
 	request := f.newRequest()
-	results := make(chan result, len(candidates))
+	request.StatusOnly = true
+	results := make(chan searchResult, len(candidates))
 	for _, to := range candidates {
 		go func() {
 			reply, err := f.poll(ctx, to, request)
-			results <- result{from: to, reply: reply, err: err}
+			results <- searchResult{from: to, reply: reply, err: err}
 		}()
 	}
 	for range candidates {
@@ -173,10 +172,43 @@
 		if r.reply.HasQuorum {
 			return true
 		}
+		f.pollWithoutQuorum(ctx, r)
 	}
 	return false
 }
 
+// searchResult is the reply of one voter to a search.
+type searchResult struct {
+	from  figseam.InstanceID
+	reply PollReply
+	err   error
+}
+
+// content identifies what a voter can send.
+type content struct {
+	configVersion, listDigest uint64
+}
+
+// pollWithoutQuorum polls a voter that has no quorum if it has something that this instance
+// lacks, once for each content: in a partitioned data centre it has the newest
+// configuration that can be reached.
+// Voters are polled one after the other, so that the same content is not sent by all.
+func (f *Subscriber) pollWithoutQuorum(ctx context.Context, r searchResult) {
+	version, digest := f.held()
+	offered := content{configVersion: r.reply.ConfigVersion, listDigest: r.reply.List.Digest}
+	held := offered.configVersion <= version && offered.listDigest == digest
+	if held || f.polledContent[r.from] == offered {
+		return
+	}
+	reply, err := f.poll(ctx, r.from, f.newRequest())
+	if err != nil {
+		f.log.Debug().Err(err).Str("keeper", string(r.from)).Msg("poll of a voter without a quorum failed")
+		return
+	}
+	f.polledContent[r.from] = offered
+	f.applyReply(r.from, reply)
+}
+
 // applyReply passes a reply to onReply, records the voters that it names, and makes its
 // sender the current voter if the sender has a quorum.
 func (f *Subscriber) applyReply(from figseam.InstanceID, reply PollReply) {
@@ -224,6 +256,7 @@
 // newRequest returns a request with the held versions and, at intervals, the subscribers.
 func (f *Subscriber) newRequest() PollRequest {
 	r := f.self
+	r.AcceptsChanges = true
 	r.ConfigVersion, r.ListDigest = f.held()
 	if now := time.Now(); f.subscribers != nil && now.After(f.nextReportAt) {
 		f.nextReportAt = now.Add(subscriberReportIntervalMillis * time.Millisecond)
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -41,6 +42,10 @@
 	Endpoints []figseam.ListedEndpoint `cbor:"3,keyasint,omitempty"`
 	// Loaded is false until the sender has a list.
 	Loaded bool `cbor:"4,keyasint,omitempty"`
+	// BaseDigest, if not 0, is the digest of the list to which Endpoints and Removed are
+	// the changes: endpoints that were added or modified, and IDs of those that are gone.
+	BaseDigest uint64   `cbor:"6,keyasint,omitempty"`
+	Removed    []string `cbor:"7,keyasint,omitempty"`
 	// SuspensionMillis is the remaining time, by endpoint ID, for which endpoints are
 	// listed as draining regardless of the platform's list.
 	SuspensionMillis map[string]int64 `cbor:"5,keyasint,omitempty"`
@@ -60,6 +65,7 @@
 	byService   map[string][]figseam.ListedEndpoint
 	byAddress   map[string]figseam.ListedEndpoint
 	digest      uint64
+	history     history
 	readAt      time.Time
 	changed     chan struct{}
 	readFailing bool
@@ -196,6 +202,7 @@
 		return
 	}
 	l.log.Info().Int("endpoints", len(endpoints)).Int("before", len(l.endpoints)).Uint64("digest", digest).Msg("endpoint list changed")
+	l.history.record(l.digest, l.endpoints, endpoints)
 	l.endpoints, l.digest = endpoints, digest
 	l.byService = map[string][]figseam.ListedEndpoint{}
 	l.byAddress = map[string]figseam.ListedEndpoint{}
@@ -296,6 +303,47 @@
 func (l *EndpointList) Snapshot(heldDigest uint64) Snapshot {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	snapshot := l.metadata()
+	if snapshot.Loaded && heldDigest != l.digest {
+		snapshot.Endpoints = l.endpoints
+	}
+	return snapshot
+}
+
+// Changes is like [EndpointList.Snapshot], but returns only the changes of the list since it
+// had the digest heldDigest, if those are remembered.
+func (l *EndpointList) Changes(heldDigest uint64) Snapshot {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	snapshot := l.metadata()
+	if !snapshot.Loaded || heldDigest == l.digest {
+		return snapshot
+	}
+	ids, ok := l.history.changedSince(heldDigest)
+	if !ok || heldDigest == 0 {
+		snapshot.Endpoints = l.endpoints
+		return snapshot
+	}
+	snapshot.BaseDigest = heldDigest
+	for _, e := range l.endpoints {
+		if ids[e.ID] {
+			snapshot.Endpoints = append(snapshot.Endpoints, e)
+			delete(ids, e.ID)
+		}
+	}
+	snapshot.Removed = slices.Sorted(maps.Keys(ids))
+	return snapshot
+}
+
+// Metadata returns the snapshot without endpoints.
+func (l *EndpointList) Metadata() Snapshot {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.metadata()
+}
+
+// metadata is Metadata for a caller that holds mu.
+func (l *EndpointList) metadata() Snapshot {
 	snapshot := Snapshot{Digest: l.digest, AgeMillis: l.ageLocked().Milliseconds(), Loaded: l.byService != nil}
 	for id, s := range l.suspended {
 		if s.until.Passed() || s.stage != stageOf(l.endpoints, id) {
@@ -306,38 +354,50 @@
 		}
 		snapshot.SuspensionMillis[id] = s.until.RemainingMillis()
 	}
-	if snapshot.Loaded && heldDigest != l.digest {
-		snapshot.Endpoints = l.endpoints
-	}
 	return snapshot
 }
 
 // Merge adds the suspensions in another instance's snapshot to those of this list, and
-// replaces the list by the snapshot's if that was read later.
+// replaces the list by the snapshot's if that was read later. Changes to another list than
+// this one are ignored.
 func (l *EndpointList) Merge(snapshot Snapshot) {
 	if !snapshot.Loaded {
 		return
 	}
 	readAt := time.Now().Add(-time.Duration(snapshot.AgeMillis) * time.Millisecond)
 	l.mu.Lock()
-	for id, millis := range snapshot.SuspensionMillis {
-		// The suspension is stored because this instance may read the source next: the
-		// instance that suspended the endpoint may be unresponsive or partitioned by then.
-		if _, ok := l.suspended[id]; !ok {
-			endpoints := snapshot.Endpoints
-			if endpoints == nil {
-				endpoints = l.endpoints
-			}
-			l.suspended[id] = suspension{until: figseam.DeadlineAfterMillis(millis), stage: stageOf(endpoints, id)}
-		}
-	}
+	endpoints, known := l.endpointsOf(snapshot)
+	l.mergeSuspensions(snapshot.SuspensionMillis, endpoints)
 	sameEndpoints := l.byService != nil && snapshot.Digest == l.digest
 	if sameEndpoints && readAt.After(l.readAt) {
 		l.readAt = readAt
 	}
 	l.mu.Unlock()
-	if sameEndpoints || (snapshot.Endpoints == nil && snapshot.Digest != computeDigest(nil)) {
-		return
+	if known && !sameEndpoints {
+		l.replaceIfNewer(endpoints, readAt)
+	}
+}
+
+// endpointsOf returns the endpoints of a snapshot. It returns those of this list and false
+// if the snapshot does not contain them: it has only their digest, or changes to another
+// list. The caller holds mu.
+func (l *EndpointList) endpointsOf(snapshot Snapshot) ([]figseam.ListedEndpoint, bool) {
+	switch {
+	case snapshot.BaseDigest != 0 && snapshot.BaseDigest == l.digest:
+		return applyChanges(l.endpoints, snapshot.Endpoints, snapshot.Removed), true
+	case snapshot.BaseDigest == 0 && (snapshot.Endpoints != nil || snapshot.Digest == computeDigest(nil)):
+		return snapshot.Endpoints, true
+	}
+	return l.endpoints, false
+}
+
+// mergeSuspensions stores suspensions that are new here, because this instance may read
+// the source next: the instance that suspended the endpoints may be unresponsive or
+// partitioned by then. The caller holds mu.
+func (l *EndpointList) mergeSuspensions(suspensionMillis map[string]int64, endpoints []figseam.ListedEndpoint) {
+	for id, millis := range suspensionMillis {
+		if _, ok := l.suspended[id]; !ok {
+			l.suspended[id] = suspension{until: figseam.DeadlineAfterMillis(millis), stage: stageOf(endpoints, id)}
+		}
 	}
-	l.replaceIfNewer(snapshot.Endpoints, readAt)
 }
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/lister"
@@ -179,3 +182,77 @@
 		require.NotContains(t, l.Snapshot(0).SuspensionMillis, "a")
 	})
 }
+
+// TestMergedChangesEqualWholeList merges changes into copies that are behind by any number
+// of changes, and compares them with a copy that merges whole lists.
+func TestMergedChangesEqualWholeList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadlineTB{t}, func(t *rapid.T) {
+			newList := func() *lister.EndpointList {
+				return lister.New(nil, func() time.Duration { return time.Hour }, zerolog.Nop())
+			}
+			origin, whole, behind := newList(), newList(), newList()
+			for range rapid.IntRange(1, 90).Draw(t, "changes") {
+				time.Sleep(time.Millisecond)
+				endpoints := rapid.SliceOfNDistinct(rapid.Custom(drawEndpoint), 0, 6, func(e figseam.ListedEndpoint) string { return e.ID }).Draw(t, "endpoints")
+				origin.Merge(lister.Snapshot{Loaded: true, Digest: rapid.Uint64Min(1).Draw(t, "digest"), Endpoints: append([]figseam.ListedEndpoint{}, endpoints...)})
+				wholeDigest, _ := whole.Digest()
+				whole.Merge(origin.Snapshot(wholeDigest))
+				if rapid.IntRange(0, 3).Draw(t, "merge") != 0 {
+					continue
+				}
+				held, _ := behind.Digest()
+				behind.Merge(origin.Changes(held))
+				require.Equal(t, whole.ServiceEndpoints("s"), behind.ServiceEndpoints("s"))
+				got, _ := behind.Digest()
+				want, _ := origin.Digest()
+				require.Equal(t, want, got)
+			}
+		})
+	})
+}
+
+func drawEndpoint(t *rapid.T) figseam.ListedEndpoint {
+	return figseam.ListedEndpoint{
+		ID: rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "id"), Service: "s", Draining: rapid.Bool().Draw(t, "draining"),
+	}
+}
+
+// TestChangesToAnotherListAreIgnored checks that changes are only merged into the list for
+// which they were made, and do not make another one count as read.
+func TestChangesToAnotherListAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := startList(t, &fakeSource{ids: []string{"a", "b"}}, time.Hour)
+		time.Sleep(time.Minute)
+		age := l.Age()
+		l.Merge(lister.Snapshot{Loaded: true, Digest: 7, BaseDigest: 6, Removed: []string{"a"}})
+		l.Merge(lister.Snapshot{Loaded: true, Digest: 8})
+		require.Equal(t, []string{"a", "b"}, endpointIDs(l))
+		require.Equal(t, age, l.Age())
+	})
+}
+
+// TestChangeOfLargeListIsSmall replays a fleet of 3,000 endpoints of which one starts to
+// drain: the whole list for hundreds of instances would fill the links of the voters.
+func TestChangeOfLargeListIsSmall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ids []string
+		for i := range 3000 {
+			ids = append(ids, fmt.Sprintf("endpoint-%04d", i))
+		}
+		l := startList(t, &fakeSource{ids: ids}, time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		held, _ := l.Digest()
+		l.Suspend([]string{"endpoint-0042"}, figseam.DeadlineAfterMillis(60_000))
+		whole, err := cbor.Marshal(l.Snapshot(held))
+		require.NoError(t, err)
+		changes, err := cbor.Marshal(l.Changes(held))
+		require.NoError(t, err)
+		require.Greater(t, len(whole), 100_000)
+		require.Less(t, len(changes), 500)
+	})
+}
+
+// noDeadlineTB hides the type *testing.T from rapid, which otherwise calls its method
+// Deadline. That method must not be called within a synctest bubble.
+type noDeadlineTB struct{ *testing.T }
