aggregator: instances and voters receive changes of the sums

Change: a voter remembers which endpoints' usage changed at which revision and sends those since the revision that the entry names; voters send each other changes with sequence numbers and the whole sum every 0.5 s. Ruled out: acknowledged messages between voters (the whole sum repairs a loss in 0.5 s).

--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -36,6 +36,24 @@
 type Report struct {
 	Instance figseam.InstanceID `cbor:"1,keyasint"`
 	Load     Load               `cbor:"2,keyasint"`
+	// Epoch and Revision are those of the last [Sum] that the instance received; 0 if it
+	// has none.
+	Epoch    uint64 `cbor:"3,keyasint,omitempty"`
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
+	// Sequence is the number of a voter's message; see [PeerSender].
+	Sequence uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Sum is the load of all instances but one.
+type Sum struct {
+	Load
+	// Epoch identifies the run of the voter, and Revision the state of its sums.
+	Epoch    uint64 `cbor:"3,keyasint,omitempty"`
+	Revision uint64 `cbor:"4,keyasint,omitempty"`
+	// ChangesOnly reports whether Usage holds only the endpoints whose usage changed since
+	// the revision of the report. Those that are no longer used are contained with no
+	// usage.
+	ChangesOnly bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Store holds the reports of instances and voters and sums them. The sums are updated with
@@ -45,10 +63,11 @@
 	// mu guards everything below.
 	mu        sync.Mutex
 	instances map[figseam.InstanceID]receivedReport
-	voters    map[figseam.InstanceID]receivedReport
+	voters    map[figseam.InstanceID]receivedSum
 	// local is the sum of instances, all that of instances and voters.
 	local       *Total
 	all         *Total
+	changes     changeLog
 	nextSweepAt time.Time
 }
 
@@ -57,39 +76,105 @@
 	receivedAt time.Time
 }
 
-func (r receivedReport) expired(now time.Time) bool {
-	return now.Sub(r.receivedAt) > maxReportAgeMillis*time.Millisecond
+// receivedSum is the sum of another voter, up to its message with the sequence number.
+type receivedSum struct {
+	total      *Total
+	sequence   uint64
+	receivedAt time.Time
+}
+
+func expired(receivedAt, now time.Time) bool {
+	return now.Sub(receivedAt) > maxReportAgeMillis*time.Millisecond
 }
 
 // New returns a store without reports.
 func New() *Store {
-	return &Store{instances: map[figseam.InstanceID]receivedReport{}, voters: map[figseam.InstanceID]receivedReport{}, local: newTotal(), all: newTotal()}
+	return &Store{
+		instances: map[figseam.InstanceID]receivedReport{}, voters: map[figseam.InstanceID]receivedSum{},
+		local: newTotal(), all: newTotal(), changes: newChangeLog(),
+	}
 }
 
 // ExchangeReport stores the report of an instance and returns the sum of all others.
-func (s *Store) ExchangeReport(r Report) Load {
+func (s *Store) ExchangeReport(r Report) Sum {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dropExpired(now)
-	if old, ok := s.instances[r.Instance]; ok {
-		s.local.subtract(old.load)
-		s.all.subtract(old.load)
-	}
-	others := s.all.load()
+	difference := subtract(r.Load, s.instances[r.Instance].load)
 	s.instances[r.Instance] = receivedReport{load: r.Load, receivedAt: now}
-	s.local.add(r.Load)
-	s.all.add(r.Load)
-	return others
+	s.local.addTotal(difference)
+	s.applyDifference(difference)
+	return s.sumWithout(r)
+}
+
+// sumWithout returns the sum of all reports but the given one, or its changes since the
+// revision that the report names. The caller holds mu.
+func (s *Store) sumWithout(r Report) Sum {
+	sum := Sum{Epoch: s.changes.epoch, Revision: s.changes.revision}
+	own := newTotal()
+	own.add(r.Load)
+	for key, d := range s.all.demand {
+		if rest := d.Add(own.demand[key].Negate()); rest != (figseam.ServiceDemand{Service: key}) {
+			sum.Demand = append(sum.Demand, rest)
+		}
+	}
+	if endpoints, ok := s.changes.since(r.Epoch, r.Revision); ok {
+		sum.ChangesOnly = true
+		for _, key := range endpoints {
+			sum.Usage = append(sum.Usage, s.usageWithout(key, own))
+		}
+		return sum
+	}
+	for key := range s.all.usage {
+		if u := s.usageWithout(key, own); u != (figseam.EndpointUsage{Endpoint: key}) {
+			sum.Usage = append(sum.Usage, u)
+		}
+	}
+	return sum
+}
+
+// usageWithout returns the usage of an endpoint by all but the given load.
+func (s *Store) usageWithout(endpoint uint32, own *Total) figseam.EndpointUsage {
+	rest := s.all.usage[endpoint].Add(own.usage[endpoint].Negate())
+	rest.Endpoint = endpoint
+	return rest
 }
 
 // MergePeer stores the sum that another voter sent.
 func (s *Store) MergePeer(r Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.all.subtract(s.voters[r.Instance].load)
-	s.voters[r.Instance] = receivedReport{load: r.Load, receivedAt: time.Now()}
-	s.all.add(r.Load)
+	total := newTotal()
+	total.add(r.Load)
+	difference := total.clone()
+	if old, ok := s.voters[r.Instance]; ok {
+		difference.subtract(old.total.load())
+	}
+	s.voters[r.Instance] = receivedSum{total: total, sequence: r.Sequence, receivedAt: time.Now()}
+	s.applyDifference(difference)
+}
+
+// MergePeerChanges adds the changes of another voter's sum. It ignores them if a message
+// before them was lost; the next whole sum repairs that.
+func (s *Store) MergePeerChanges(r Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.voters[r.Instance]
+	if !ok || old.sequence+1 != r.Sequence {
+		return
+	}
+	old.total.add(r.Load)
+	s.voters[r.Instance] = receivedSum{total: old.total, sequence: r.Sequence, receivedAt: time.Now()}
+	difference := newTotal()
+	difference.add(r.Load)
+	s.applyDifference(difference)
+}
+
+// applyDifference adds a difference to the sum of all reports. The caller holds mu.
+func (s *Store) applyDifference(difference *Total) {
+	s.all.addTotal(difference)
+	s.changes.record(difference.usage)
 }
 
 // LocalSum returns the sum of the instances that report to this voter.
@@ -116,15 +201,16 @@
 	}
 	s.nextSweepAt = now.Add(sweepIntervalMillis * time.Millisecond)
 	for id, r := range s.instances {
-		if r.expired(now) {
-			s.local.subtract(r.load)
-			s.all.subtract(r.load)
+		if expired(r.receivedAt, now) {
+			difference := subtract(Load{}, r.load)
+			s.local.addTotal(difference)
+			s.applyDifference(difference)
 			delete(s.instances, id)
 		}
 	}
 	for id, r := range s.voters {
-		if r.expired(now) {
-			s.all.subtract(r.load)
+		if expired(r.receivedAt, now) {
+			s.applyDifference(subtract(Load{}, r.total.load()))
 			delete(s.voters, id)
 		}
 	}
@@ -150,43 +236,49 @@
 	return t.demand[figseam.HashService(service)]
 }
 
+// subtract returns the difference of two loads.
+func subtract(a, b Load) *Total {
+	t := newTotal()
+	t.add(a)
+	t.subtract(b)
+	return t
+}
+
 func (t *Total) add(l Load) {
 	for _, u := range l.Usage {
-		t.addUsage(u)
+		accumulate(t.usage, u.Endpoint, u, figseam.EndpointUsage{Endpoint: u.Endpoint})
 	}
 	for _, d := range l.Demand {
-		t.addDemand(d)
+		accumulate(t.demand, d.Service, d, figseam.ServiceDemand{Service: d.Service})
 	}
 }
 
 // subtract removes a load that was added before.
 func (t *Total) subtract(l Load) {
 	for _, u := range l.Usage {
-		t.addUsage(u.Negate())
+		accumulate(t.usage, u.Endpoint, u.Negate(), figseam.EndpointUsage{Endpoint: u.Endpoint})
 	}
 	for _, d := range l.Demand {
-		t.addDemand(d.Negate())
+		accumulate(t.demand, d.Service, d.Negate(), figseam.ServiceDemand{Service: d.Service})
 	}
 }
 
-// addUsage adds a usage. Endpoints without usage are dropped.
-func (t *Total) addUsage(u figseam.EndpointUsage) {
-	sum := t.usage[u.Endpoint].Add(u)
-	if sum == (figseam.EndpointUsage{Endpoint: u.Endpoint}) {
-		delete(t.usage, u.Endpoint)
-		return
-	}
-	t.usage[u.Endpoint] = sum
+func (t *Total) addTotal(other *Total) { t.add(other.load()) }
+
+// amount is a value that can be summed.
+type amount[T any] interface {
+	comparable
+	Add(T) T
 }
 
-// addDemand adds a demand. Services without demand are dropped.
-func (t *Total) addDemand(d figseam.ServiceDemand) {
-	sum := t.demand[d.Service].Add(d)
-	if sum == (figseam.ServiceDemand{Service: d.Service}) {
-		delete(t.demand, d.Service)
+// accumulate adds a value to the sum with a key. A sum of none is dropped.
+func accumulate[T amount[T]](sums map[uint32]T, key uint32, value, none T) {
+	sum := sums[key].Add(value)
+	if sum == none {
+		delete(sums, key)
 		return
 	}
-	t.demand[d.Service] = sum
+	sums[key] = sum
 }
 
 func (t *Total) clone() *Total {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -50,6 +50,9 @@
 	budget     *budgeter.Budget
 	connector  *connector.Connector
 	tracker    *selector.Tracker
+	// lastSum is the state of the sums that this entry received last. It is used by
+	// exchangeLoad only.
+	lastSum sumRevision
 	// callerConns tracks the callers' connections.
 	callerConns busyConns
 	draining    atomic.Bool
@@ -193,12 +196,25 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, loadExchangeTimeoutMillis*time.Millisecond)
 	defer cancel()
-	report := aggregator.Report{Instance: e.settings.PeerID(), Load: aggregator.Load{Usage: e.tracker.LocalUsage(), Demand: e.relayer.LocalDemand()}}
-	remote, err := messenger.Call[aggregator.Report, aggregator.Load](ctx, e.messenger, string(voter), kindExchangeLoad, report)
+	report := aggregator.Report{
+		Instance: e.settings.PeerID(), Load: aggregator.Load{Usage: e.tracker.LocalUsage(), Demand: e.relayer.LocalDemand()},
+		Epoch: e.lastSum.epoch, Revision: e.lastSum.revision,
+	}
+	remote, err := messenger.Call[aggregator.Report, aggregator.Sum](ctx, e.messenger, string(voter), kindExchangeLoad, report)
 	if err != nil {
 		e.log.Debug().Err(err).Str("keeper", string(voter)).Msg("load exchange with voter failed")
 		return
 	}
 	e.relayer.SetRemoteDemand(remote.Demand)
-	e.tracker.SetRemoteUsage(remote.Usage)
+	if remote.ChangesOnly {
+		e.tracker.MergeRemoteUsage(remote.Usage)
+	} else {
+		e.tracker.SetRemoteUsage(remote.Usage)
+	}
+	e.lastSum = sumRevision{epoch: remote.Epoch, revision: remote.Revision}
+}
+
+// sumRevision identifies a state of a voter's sums.
+type sumRevision struct {
+	epoch, revision uint64
 }
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -43,10 +43,9 @@
 	subscriber  *distributor.Subscriber
 	store       *keeper.Store
 	loads       *aggregator.Store
-	// lastSumNonEmpty reports whether the last load sum that was sent to the other voters
-	// was not empty.
-	lastSumNonEmpty bool
-	seeds           atomic.Pointer[[]figseam.InstanceID]
+	// peerSender decides what sendLoad sends to the other voters.
+	peerSender *aggregator.PeerSender
+	seeds      atomic.Pointer[[]figseam.InstanceID]
 }
 
 // NewVoter assembles a voter and opens its replicated log. Log lines go to out. It
@@ -76,14 +75,18 @@
 	messenger.Handle(v.messenger, kindPoll, func(ctx context.Context, _ figseam.InstanceID, r distributor.PollRequest) (distributor.PollReply, error) {
 		return v.distributor.Poll(ctx, r), nil
 	})
-	v.loads = aggregator.New()
-	messenger.Handle(v.messenger, kindExchangeLoad, func(_ context.Context, _ figseam.InstanceID, r aggregator.Report) (aggregator.Load, error) {
+	v.loads, v.peerSender = aggregator.New(), aggregator.NewPeerSender()
+	messenger.Handle(v.messenger, kindExchangeLoad, func(_ context.Context, _ figseam.InstanceID, r aggregator.Report) (aggregator.Sum, error) {
 		return v.loads.ExchangeReport(r), nil
 	})
 	messenger.Handle(v.messenger, kindPeerLoad, func(_ context.Context, _ figseam.InstanceID, r aggregator.Report) (emptyReply, error) {
 		v.loads.MergePeer(r)
 		return emptyReply{}, nil
 	})
+	messenger.Handle(v.messenger, kindPeerLoadChanges, func(_ context.Context, _ figseam.InstanceID, r aggregator.Report) (emptyReply, error) {
+		v.loads.MergePeerChanges(r)
+		return emptyReply{}, nil
+	})
 	v.registerMetrics()
 	return v, nil
 }
@@ -191,18 +194,20 @@
 	return err
 }
 
-// sendLoad sends the other voters the sum of the loads that entries report to this voter.
-// It sends an empty sum once and then nothing until there is a load.
+// sendLoad sends the other voters the sum of the loads that entries report to this voter,
+// or its changes.
 func (v *Voter) sendLoad(context.Context) {
-	load := v.loads.LocalSum()
-	if load.Empty() && !v.lastSumNonEmpty {
+	message, changesOnly, send := v.peerSender.Next(v.settings.PeerID(), v.loads.LocalSum())
+	if !send {
 		return
 	}
-	v.lastSumNonEmpty = !load.Empty()
-	report := aggregator.Report{Instance: v.settings.PeerID(), Load: load}
+	kind := kindPeerLoad
+	if changesOnly {
+		kind = kindPeerLoadChanges
+	}
 	for _, to := range v.voterIDs() {
 		if to != v.settings.PeerID() {
-			messenger.Send(v.messenger, string(to), kindPeerLoad, report)
+			messenger.Send(v.messenger, string(to), kind, message)
 		}
 	}
 }
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -154,6 +154,25 @@
 	t.signalChanged()
 }
 
+// MergeRemoteUsage replaces the summed usage of all other instances at some endpoints.
+// Endpoints without usage are dropped.
+func (t *Tracker) MergeRemoteUsage(changes []figseam.EndpointUsage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.remoteUsage == nil {
+		t.remoteUsage = map[uint32]figseam.EndpointUsage{}
+	}
+	t.remoteUsageAt = time.Now()
+	for _, u := range changes {
+		if u == (figseam.EndpointUsage{Endpoint: u.Endpoint}) {
+			delete(t.remoteUsage, u.Endpoint)
+			continue
+		}
+		t.remoteUsage[u.Endpoint] = u
+	}
+	t.signalChanged()
+}
+
 // remoteEndpointUsage returns the usage of an endpoint by other instances, or false if it
 // is older than maxRemoteUsageAgeMillis.
 func (t *Tracker) remoteEndpointUsage(id string, now time.Time) (figseam.EndpointUsage, bool) {
