--- /dev/null
+++ b/review/standins/main.go
@@ -0,0 +1,48 @@
+// Command standins plays the cases of the review: it starts figseamd as separate processes on
+// loopback addresses and acts as the platform, the engines, the clients and the operator.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// cases are the cases by name, each added in its own file. Each reports whether the rule was
+// broken.
+var cases = map[string]func(*bed) (broken bool, err error){}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins CASE FOLDER")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(play(os.Args[1], os.Args[2]))
+}
+
+// play runs one case and returns the exit code.
+func play(name, folder string) int {
+	b, err := newBed(folder)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standins:", err)
+		return exitNotRun
+	}
+	defer b.close()
+	broken, err := cases[name](b)
+	if err != nil {
+		b.notef("case could not run: %v", err)
+		return exitNotRun
+	}
+	if broken {
+		b.notef("result: the rule was BROKEN")
+		return exitBroken
+	}
+	b.notef("result: the rule held")
+	return exitHeld
+}
