--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -28,6 +28,8 @@
 	body     string
 	complete bool
 	took     time.Duration
+	// gap is the longest time without a byte of the body.
+	gap time.Duration
 }
 
 // send sends one request to an entry and reads the whole answer.
@@ -58,11 +60,26 @@
 		return r
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	r.status, r.body, r.complete, r.took = response.StatusCode, string(body), err == nil, time.Since(began)
+	body := &gapReader{source: response.Body, last: time.Now()}
+	text, err := io.ReadAll(body)
+	r.status, r.body, r.complete, r.took, r.gap = response.StatusCode, string(text), err == nil, time.Since(began), body.longest
 	return r
 }
 
+// gapReader measures the longest time that a read takes.
+type gapReader struct {
+	source  io.Reader
+	last    time.Time
+	longest time.Duration
+}
+
+func (g *gapReader) Read(p []byte) (int, error) {
+	n, err := g.source.Read(p)
+	g.longest = max(g.longest, time.Since(g.last))
+	g.last = time.Now()
+	return n, err
+}
+
 // ready reports whether an entry counts as ready.
 func (b *bed) ready(m machine) bool {
 	response, err := operatorClient.Get("http://" + b.address(m.host, portReadiness) + "/figseam/readyz")
--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -31,6 +31,8 @@
 	// breaks reports whether the stream of a request is to be reset in the middle of its next
 	// event.
 	breaks func(id string) bool
+	// pause returns the time in which the engine preempts its streams and sends no events.
+	pause func() (from, to time.Time)
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -178,6 +180,7 @@
 	total, _ := strconv.Atoi(output)
 	for n := first + 1; n <= total; n++ {
 		time.Sleep(e.step)
+		e.awaitPause()
 		event := fmt.Sprintf("id: %d\ndata: token %d of %s\n\n", n, n, id)
 		if e.breaks != nil && e.breaks(id) {
 			_, _ = io.WriteString(c, chunk(event[:len(event)/2]))
@@ -192,6 +195,16 @@
 	return err == nil
 }
 
+// awaitPause waits until the end of the engine's pause, if it has begun.
+func (e *engine) awaitPause() {
+	if e.pause == nil {
+		return
+	}
+	if from, to := e.pause(); time.Now().After(from) {
+		time.Sleep(time.Until(to))
+	}
+}
+
 // nextHandle returns a new name of a handle or a hold.
 func (e *engine) nextHandle() string {
 	e.mu.Lock()
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -34,6 +36,14 @@
 		return exitNotRun
 	}
 	defer b.close()
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		<-signals
+		b.notef("case could not run: it was ended from outside")
+		b.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[name](b)
 	if err != nil {
 		b.notef("case could not run: %v", err)
