--- a/review/standins/bed.go
+++ b/review/standins/bed.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -249,6 +248,3 @@
 	}
 	return seeds
 }
-
-// join joins lines for the record.
-func join(all []string) string { return strings.Join(all, ", ") }
--- a/review/standins/case_silence.go
+++ b/review/standins/case_silence.go
@@ -34,8 +34,10 @@
 	var arrivals []arrival
 	var engines []*engine
 	for i, spec := range []struct{ id, stage, zone string }{
-		{"i-prefill-1", "prefill", "zone-a"}, {"i-prefill-2", "prefill", "zone-b"},
-		{"i-decode-1", "decode", "zone-a"}, {"i-decode-2", "decode", "zone-b"},
+		{"i-prefill-1", "prefill", "zone-a"},
+		{"i-prefill-2", "prefill", "zone-b"},
+		{"i-decode-1", "decode", "zone-a"},
+		{"i-decode-2", "decode", "zone-b"},
 	} {
 		e, err := b.startEngine(spec.id, "pool", spec.zone, spec.stage, firstEngineHost+i)
 		if err != nil {
