--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -54,6 +54,7 @@
 		q.Header.Set("X-Figseam-Token-Usage", "1000,"+strconv.Itoa(tokens))
 		q.Header.Set("X-Figseam-Prompt-Prefix", "5c1e07a2:200,"+id+":800")
 	}
+	b.notef("client: sends %s %s as %s to %s", method, path, id, entry.name)
 	response, err := clientTransport.RoundTrip(q)
 	if err != nil {
 		r.took = time.Since(began)
