--- a/review/standins/case_silence.go
+++ b/review/standins/case_silence.go
@@ -21,6 +21,8 @@
 	silentAfter = 1500 * time.Millisecond
 	// silentFor is the pause: shorter than the gap after which clients abandon a stream.
 	silentFor = 2500 * time.Millisecond
+	// listLead is the time from the listing of the leaving engine to the start of the streams.
+	listLead = 2 * time.Second
 	// clientGap is that gap: two seconds, four times the objective (900 ms) or eight times the
 	// pause of the sheet (300 ms), whichever is longest.
 	clientGap = 3600 * time.Millisecond
@@ -52,12 +54,15 @@
 		engines = append(engines, e)
 	}
 	serving, leaving := engines[2], engines[3]
-	s, err := b.startSmall(2, entriesOf(engines, leaving)...)
+	s, err := b.startSmall(2, entriesOf(engines, nil)...)
 	if err != nil {
 		return false, err
 	}
 	// The share of the retry budget grows with the age of an entry.
 	time.Sleep(retryWindow + time.Second)
+	s.list.set(entriesOf(engines, leaving)...)
+	b.notef("platform: %s is listed as draining; it goes on serving", leaving.id)
+	time.Sleep(listLead)
 	stopped := s.entries[0]
 	beganAt := time.Now()
 	if b.trouble {
