relayer: an endpoint that left after it was chosen gets no new work

Cause: the list is asked when an endpoint is chosen, not when something is sent to it; a whole stream or a prefill may lie between. Ruled out: an old list (other requests left the engine out). Related path found: a decode engine that is listed as draining during the prefill got the request.

--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -394,6 +394,13 @@
 		Action:      "Find the parts in the line \"prompt part quarantined\" and its requests by prompt_parts; look why engines cannot process it.",
 		Since:       "0.5",
 	},
+	{
+		Code:        "endpoint_leaving",
+		Title:       "Endpoint is leaving",
+		Description: "The endpoint began to leave after it had been chosen. The request was not sent to it.",
+		Action:      "None: another endpoint is chosen. If no endpoint is left, add some.",
+		Since:       "0.5",
+	},
 	{
 		Code:        "endpoint_limited",
 		Title:       "Endpoints take no more requests now",
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -64,6 +64,7 @@
 	endpoints   []figseam.ListedEndpoint
 	byService   map[string][]figseam.ListedEndpoint
 	byAddress   map[string]figseam.ListedEndpoint
+	byID        map[string]figseam.ListedEndpoint
 	digest      uint64
 	history     history
 	readAt      time.Time
@@ -206,7 +207,9 @@
 	l.endpoints, l.digest = endpoints, digest
 	l.byService = map[string][]figseam.ListedEndpoint{}
 	l.byAddress = map[string]figseam.ListedEndpoint{}
+	l.byID = map[string]figseam.ListedEndpoint{}
 	for _, e := range endpoints {
+		l.byID[e.ID] = e
 		l.byService[e.Service] = append(l.byService[e.Service], e)
 		l.byAddress[e.Address] = e
 	}
@@ -282,6 +285,15 @@
 	return names
 }
 
+// AcceptsWork reports whether an endpoint that was listed earlier may receive new work now:
+// the same run of it is still listed, and not as draining.
+func (l *EndpointList) AcceptsWork(e figseam.ListedEndpoint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	listed, ok := l.byID[e.ID]
+	return ok && !listed.Draining && listed.StartedMillis == e.StartedMillis && listed.Address == e.Address
+}
+
 // HasAddress reports whether an endpoint with this address is listed.
 func (l *EndpointList) HasAddress(address string) bool {
 	l.mu.Lock()
--- a/relayer/cached.go
+++ b/relayer/cached.go
@@ -18,10 +18,11 @@
 // the same engine.
 const resumeTimeoutMillis = 400
 
-// tryAcquireResume reports whether a broken stream may be resumed at the same engine.
-// If so, it consumes one retry from the budget.
+// tryAcquireResume reports whether a broken stream may be resumed at the same engine,
+// which may have begun to leave since it was chosen. If so, it consumes one retry from the budget.
 func (t *task) tryAcquireResume(broken *placement) bool {
-	return t.route.Semantics.Retryable() && t.Throttle.Allows(broken.choice.Candidate.Endpoint) && t.Budget.TryAcquire(t.service)
+	e := broken.choice.Candidate.Endpoint
+	return t.route.Semantics.Retryable() && t.acceptsWork(e) && t.Throttle.Allows(e) && t.Budget.TryAcquire(t.service)
 }
 
 // resume resumes a broken stream at the same engine, which has the prompt cached if it
@@ -132,7 +133,6 @@
 // the engine is unreachable, responds with a status other than 200, or with an invalid
 // body.
 func (r *Relayer) queryCache(ctx context.Context, e figseam.ListedEndpoint) ([]figseam.PromptPart, error) {
-	r.Throttle.RecordSend(e)
 	status, body, err := r.doControl(ctx, e, controlCall{method: http.MethodGet, target: r.Codec.CachedPartsPath()})
 	if err != nil {
 		return nil, err
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -53,8 +53,8 @@
 		response, code = t.callOnce(ctx, e)
 		t.recordStep(e, "call", choice, code, began)
 		t.excluded[e.ID] = true
-		t.mayHaveRun = t.mayHaveRun || (code != explainer.ConnectFailed && code != explainer.EndpointRejected)
-		if code == explainer.ConnectFailed {
+		t.mayHaveRun = t.mayHaveRun || (!unsent(code) && code != explainer.EndpointRejected)
+		if unsent(code) {
 			if connectFailures++; !connectRetriesExhausted(connectFailures, t.began) {
 				continue
 			}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -30,8 +30,7 @@
 // header. A code that is not empty is the reason why the response must not be used; a
 // response that is not nil must be closed even then.
 func (t *task) send(ctx context.Context, call figseam.EndpointCall) (*connector.Response, figseam.ResponseHead, figseam.Code) {
-	t.Throttle.RecordSend(call.Endpoint)
-	response, err := t.Connector.Do(ctx, connector.Request{
+	response, err := t.sendWork(ctx, call.Endpoint, connector.Request{
 		Address: call.Endpoint.Address, Method: t.request.Method, Target: t.request.Target, Host: t.request.Host,
 		Header: t.Codec.EncodeCallHeader(call), Body: t.request.Body,
 		IDHeader: t.Codec.RequestIDHeader(), ID: string(t.request.ID),
@@ -56,6 +55,8 @@
 		return code
 	}
 	switch {
+	case errors.Is(err, errEndpointLeaving):
+		return explainer.EndpointLeaving
 	case errors.Is(err, connector.ErrNotSent):
 		return explainer.ConnectFailed
 	case errors.Is(err, connector.ErrMismatchedResponse), errors.Is(err, errReservationRepeated):
@@ -104,6 +105,8 @@
 	method string
 	target string
 	body   []byte
+	// releases is set for a call that frees resources. Endpoints that leave receive it, too.
+	releases bool
 	// accept, if set, returns an error if the response cannot be the one to this call.
 	accept func(status int, body []byte) error
 }
@@ -116,7 +119,11 @@
 	if len(call.body) > 0 {
 		header.Set("Content-Type", "application/json")
 	}
-	response, err := r.Connector.Do(ctx, connector.Request{
+	send := r.sendWork
+	if call.releases {
+		send = r.sendRelease
+	}
+	response, err := send(ctx, e, connector.Request{
 		Address: e.Address, Method: call.method, Target: call.target, Host: e.Address, Header: header, Body: call.body,
 	})
 	if err != nil {
@@ -147,7 +154,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeoutMillis*time.Millisecond)
 		defer cancel()
-		if _, _, err := t.doControl(ctx, e, controlCall{method: http.MethodDelete, target: target}); err != nil {
+		if _, _, err := t.doControl(ctx, e, controlCall{method: http.MethodDelete, target: target, releases: true}); err != nil {
 			t.Log.Debug().Err(err).Str("endpoint", e.ID).Str("target", target).Msg("cannot release the resource at the endpoint")
 		}
 	}()
@@ -158,7 +165,7 @@
 	switch code {
 	case "":
 		return selector.ResultSuccess
-	case explainer.CallerDisconnected, explainer.DeadlineExceeded:
+	case explainer.CallerDisconnected, explainer.DeadlineExceeded, explainer.EndpointLeaving:
 		return selector.ResultIgnored
 	case explainer.ConnectFailed:
 		return selector.ResultUnreachable
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -38,6 +38,9 @@
 func (t *task) tryDecodeEngines(ctx context.Context) figseam.Code {
 	code := explainer.NoAvailableEndpoint
 	prefilling := t.cacheEngine == nil
+	// source is the prefill result that the next decode engine takes, or nil.
+	var source *prefillResult
+	defer func() { t.releaseHandle(source) }()
 	for connectFailures, began := 0, time.Now(); !connectRetriesExhausted(connectFailures, began); {
 		p, refusal := t.acquirePlacement(ctx)
 		if p == nil {
@@ -47,7 +50,7 @@
 			t.releasePlacement(p)
 			return explainer.PromptQuarantined
 		}
-		var source *prefillResult
+		source = source.unlessExpired()
 		if prefilling {
 			if source, code = t.prefill(ctx, p); t.endsAfterPrefill(code) {
 				t.releasePlacement(p)
@@ -56,12 +59,13 @@
 		}
 		if refusal := t.checkDecodeAllowed(); refusal != "" {
 			t.releasePlacement(p)
-			t.releaseHandle(source)
 			return refusal
 		}
 		code = t.decode(ctx, p, source)
 		if code == explainer.ConnectionLost && !t.quarantined() && t.tryAcquireResume(p) {
-			code = t.resume(ctx, p)
+			if code = t.resume(ctx, p); code == explainer.EndpointLeaving {
+				code = explainer.ConnectionLost
+			}
 		}
 		// The prefill is not repeated: it would count as an attempt. The next decode
 		// engine fetches the KV cache from an engine that has the prompt cached, or
@@ -69,20 +73,27 @@
 		// missing result may be why the engine rejected the request.
 		switch code {
 		case "":
+			source = nil
 			return ""
+		case explainer.EndpointLeaving:
+			// Another decode engine takes the prefill result.
+			t.releaseReservation(p)
+			prefilling = prefilling && source == nil
+			connectFailures++
+			continue
 		case explainer.ConnectFailed:
 			t.releaseHandle(source)
 			prefilling = prefilling && source == nil
+			source = nil
 			connectFailures++
 			continue
 		case explainer.CallerDisconnected, explainer.DeadlineExceeded:
-			t.releaseHandle(source)
 			return code
 		case explainer.EndpointRejected:
 			t.releaseHandle(source)
 			t.attributeRejection(p, source)
 		}
-		prefilling = false
+		prefilling, source = false, nil
 		if t.mayHaveRun && !t.route.Semantics.Retryable() {
 			return code
 		}
@@ -144,7 +155,7 @@
 	if code != "" {
 		t.excluded[e.ID] = true
 	}
-	if code != explainer.ConnectFailed {
+	if !unsent(code) {
 		t.attempts++
 	}
 	return code
--- a/relayer/placing.go
+++ b/relayer/placing.go
@@ -42,6 +42,11 @@
 // releasePlacement releases a placement that was not used, and its reservation.
 func (t *task) releasePlacement(p *placement) {
 	p.inFlight.Finish(selector.ResultIgnored)
+	t.releaseReservation(p)
+}
+
+// releaseReservation releases the reservation of a placement, if there is one.
+func (t *task) releaseReservation(p *placement) {
 	if p.reservationID != "" {
 		t.releaseAsync(p.choice.Candidate.Endpoint, t.Codec.ReservationReleasePath(p.reservationID))
 	}
@@ -141,7 +146,6 @@
 		p.reservationID = id
 		return t.reservations.record(e, id)
 	}
-	t.Throttle.RecordSend(e)
 	status, _, err := t.doControl(ctx, e, controlCall{method: http.MethodPost, target: target, body: body, accept: accept})
 	switch {
 	case errors.Is(err, errInvalidReservation):
--- a/relayer/prefilling.go
+++ b/relayer/prefilling.go
@@ -33,6 +33,14 @@
 	expiresAt figseam.Deadline
 }
 
+// unlessExpired returns the result, or nil if the engine no longer keeps it.
+func (p *prefillResult) unlessExpired() *prefillResult {
+	if p == nil || p.expiresAt.Passed() {
+		return nil
+	}
+	return p
+}
+
 // cacheAddress returns the address from which a decode engine fetches the result; empty
 // for a nil result.
 func (p *prefillResult) cacheAddress() string {
@@ -73,7 +81,7 @@
 			return result, ""
 		}
 		t.excluded[choice.Candidate.Endpoint.ID] = true
-		if code == explainer.ConnectFailed {
+		if unsent(code) {
 			continue
 		}
 		if code != explainer.EndpointRejected {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -52,7 +52,7 @@
 	resetTimer, stopTimer := s.watchEvents(cancel)
 	defer stopTimer()
 	response, head, code := s.send(ctx, call)
-	s.mayHaveRun = s.mayHaveRun || (code != explainer.ConnectFailed && code != explainer.EndpointRejected)
+	s.mayHaveRun = s.mayHaveRun || (!unsent(code) && code != explainer.EndpointRejected)
 	s.recordLoad(head)
 	if response != nil {
 		defer response.Close()
