--- a/cmd/figload/benchmarker/replication.go
+++ b/cmd/figload/benchmarker/replication.go
@@ -70,6 +70,10 @@
 	return callNode(t, to, r, func(n *replicator.Node, r replicator.JoinRequest) replicator.JoinReply { return n.HandleJoin(ctx, r) })
 }
 
+func (t *memoryTransport) Leave(ctx context.Context, to figseam.InstanceID, r replicator.LeaveRequest) (replicator.LeaveReply, error) {
+	return callNode(t, to, r, func(n *replicator.Node, r replicator.LeaveRequest) replicator.LeaveReply { return n.HandleLeave(ctx, r) })
+}
+
 func (t *memoryTransport) Propose(ctx context.Context, to figseam.InstanceID, r replicator.ProposeRequest) (replicator.ProposeReply, error) {
 	return callNode(t, to, r, func(n *replicator.Node, r replicator.ProposeRequest) replicator.ProposeReply {
 		return n.HandlePropose(ctx, r)
