relayer, runner: a planned stop ends requests before it ends connections

Cause: requests were taken until the grace period ended, whatever their deadline, and cut then; and disabling keep-alives closes connections that count as idle, one of which may just have been read. Ruled out: the listener's queue; the requests had reached endpoints. TestStoppedEntryAnswersRequestsItHasRead failed before with "unexpected EOF". After: connections stay open until their requests are answered; late streams are refused with 503 at once, calls in the last two seconds; at the end every request without a response gets one.

--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -73,6 +73,7 @@
 	BodiesTooLarge         figseam.Code = "bodies_over_limit"
 	PromptQuarantined      figseam.Code = "prompt_quarantined"
 	EndpointLimited        figseam.Code = "endpoint_limited"
+	InstanceStopping       figseam.Code = "instance_stopping"
 	EndpointLeaving        figseam.Code = "endpoint_leaving"
 )
 
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -394,6 +394,13 @@
 		Action:      "Find the parts in the line \"prompt part quarantined\" and its requests by prompt_parts; look why engines cannot process it.",
 		Since:       "0.5",
 	},
+	{
+		Code:        "instance_stopping",
+		Title:       "Instance is stopping",
+		Description: "The instance is being stopped and could not have finished the request in its grace period. With status 503 it did not run.",
+		Action:      "None: callers try again at another instance. If frequent, look whether callers are led away from instances that are not ready.",
+		Since:       "0.5",
+	},
 	{
 		Code:        "endpoint_leaving",
 		Title:       "Endpoint is leaving",
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -74,7 +74,7 @@
 			t.logDisconnect()
 			return
 		}
-		if code == explainer.DeadlineExceeded || (t.mayHaveRun && t.route.Semantics != figseam.Idempotent) {
+		if requestEnded(code) || (t.mayHaveRun && t.route.Semantics != figseam.Idempotent) {
 			break
 		}
 	}
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -91,6 +91,8 @@
 	switch cause := context.Cause(ctx); {
 	case cause == nil:
 		return ""
+	case errors.Is(cause, errInstanceStopping):
+		return explainer.InstanceStopping
 	case errors.Is(cause, errDeadlineExceeded):
 		return explainer.DeadlineExceeded
 	case errors.Is(cause, errAttemptTimeout):
@@ -162,10 +164,13 @@
 
 // resultOf returns the result that is recorded for the endpoint of an attempt.
 func resultOf(code figseam.Code) selector.Result {
+	if requestEnded(code) {
+		return selector.ResultIgnored
+	}
 	switch code {
 	case "":
 		return selector.ResultSuccess
-	case explainer.CallerDisconnected, explainer.DeadlineExceeded, explainer.EndpointLeaving:
+	case explainer.EndpointLeaving:
 		return selector.ResultIgnored
 	case explainer.ConnectFailed:
 		return selector.ResultUnreachable
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -71,6 +71,9 @@
 		// engine fetches the KV cache from an engine that has the prompt cached, or
 		// prefills the prompt itself. The prefill result is not used again, because a
 		// missing result may be why the engine rejected the request.
+		if requestEnded(code) {
+			return code
+		}
 		switch code {
 		case "":
 			source = nil
@@ -116,13 +119,7 @@
 // endsAfterPrefill reports whether the code of a prefill ends the request. After any
 // other failure the decode engine prefills the prompt.
 func (t *task) endsAfterPrefill(code figseam.Code) bool {
-	switch code {
-	case explainer.CallerDisconnected, explainer.DeadlineExceeded:
-		return true
-	case explainer.EndpointRejected:
-		return t.attempts >= t.route.MaxAttempts
-	}
-	return false
+	return requestEnded(code) || (code == explainer.EndpointRejected && t.attempts >= t.route.MaxAttempts)
 }
 
 // attributeRejection handles the rejection of a decode request whose memory was
--- a/relayer/placing.go
+++ b/relayer/placing.go
@@ -85,7 +85,7 @@
 			t.recordStep(e, "hold", p.choice, code, reserveStart)
 		}
 		p.inFlight.Finish(reservationResult(code))
-		if code == explainer.CallerDisconnected || code == explainer.DeadlineExceeded {
+		if requestEnded(code) {
 			return nil, code
 		}
 		if code != explainer.EndpointRejected {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -83,6 +83,10 @@
 	responseMemory *limiter.Budget
 	// tableSet is closed when the first table is set.
 	tableSet chan struct{}
+	// stopPlan is nil until a planned stop begins. stopContext is done once it ends.
+	stopPlan    atomic.Pointer[stopPlan]
+	stopContext context.Context
+	endStop     context.CancelFunc
 }
 
 // New returns a relayer that refuses all requests until it has a table; see
@@ -99,6 +103,7 @@
 		queues:        decodeQueues{changed: settings.Tracker.Changed, byService: map[string]*queuer.Queue{}, offered: map[string]offeredLoad{}},
 		requestMemory: limiter.NewBudget(maxRequestBodiesBytes), responseMemory: limiter.NewBudget(maxBufferedBytes),
 	}
+	r.stopContext, r.endStop = context.WithCancel(context.Background())
 	r.cacheLocator = locator.New(r.queryCache, r.logCacheQueryFailure)
 	return r
 }
@@ -189,7 +194,9 @@
 	if t.body != nil {
 		defer t.body.Release()
 	}
-	ctx, cancel := context.WithDeadlineCause(q.Context(), t.request.Deadline.Time(), errDeadlineExceeded)
+	stopCtx, cancelStop := t.withStop(q.Context())
+	defer cancelStop()
+	ctx, cancel := context.WithDeadlineCause(stopCtx, t.request.Deadline.Time(), errDeadlineExceeded)
 	defer cancel()
 	_ = t.control.SetWriteDeadline(t.request.Deadline.Time().Add(writeSlackMillis * time.Millisecond))
 	r.Budget.RecordRequest(t.service)
@@ -242,6 +249,10 @@
 		t.body = body
 		t.request = t.request.WithBody(body.Bytes())
 	}
+	if t.refusedByStop() {
+		t.refuse(http.StatusServiceUnavailable, explainer.InstanceStopping)
+		return false
+	}
 	return true
 }
 
--- a/relayer/responding.go
+++ b/relayer/responding.go
@@ -42,6 +42,7 @@
 		h.Set(t.Codec.RequestIDHeader(), string(t.request.ID))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
+	t.closeAfterResponse(h)
 	body := string(code) + "\n"
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	t.writer.WriteHeader(status)
@@ -110,7 +111,7 @@
 // writeResponse relays an endpoint's response to the caller and logs the request with
 // the code.
 func (t *task) writeResponse(r bufferedResponse, code figseam.Code) {
-	copyEndToEndHeader(t.writer.Header(), r.header)
+	t.copyHeader(r.header)
 	t.writer.Header().Set("Content-Length", strconv.Itoa(r.body.Len()))
 	t.wroteHeader = true
 	t.writer.WriteHeader(r.status)
@@ -125,6 +126,12 @@
 	t.logRequest(level, code, r.status)
 }
 
+// copyHeader copies the header fields of an endpoint's response to the caller's.
+func (t *task) copyHeader(from http.Header) {
+	copyEndToEndHeader(t.writer.Header(), from)
+	t.closeAfterResponse(t.writer.Header())
+}
+
 // copyEndToEndHeader copies the header fields of a response except those that apply to
 // a single connection.
 func copyEndToEndHeader(to, from http.Header) {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -92,7 +92,7 @@
 		return explainer.EndpointFailed
 	}
 	s.status, s.logCode = r.Status, explainer.FailureResponseRelayed
-	copyEndToEndHeader(s.writer.Header(), r.Header)
+	s.copyHeader(r.Header)
 	s.writer.Header().Set("Content-Length", strconv.Itoa(body.Len()))
 	s.wroteHeader = true
 	s.writer.WriteHeader(r.Status)
@@ -158,7 +158,7 @@
 		return
 	}
 	s.wroteHeader = true
-	copyEndToEndHeader(s.writer.Header(), r.Header)
+	s.copyHeader(r.Header)
 	s.writer.WriteHeader(r.Status)
 	took := time.Since(s.began)
 	s.firstEventMillis = took.Milliseconds()
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -41,8 +41,10 @@
 	// the platform needs two readiness probes, 1 s apart, to detect the drain.
 	drainAcceptMillis = 2600
 	// drainGraceRatio is the fraction of the grace period after which a draining entry
-	// aborts the requests that are still in flight.
-	drainGraceRatio = 0.93
+	// ends the requests that are still in flight. Their answers are written within
+	// finalAnswersMillis.
+	drainGraceRatio    = 0.93
+	finalAnswersMillis = 250
 )
 
 // EntryInstance is an instance that relays callers' requests to endpoints.
@@ -159,7 +161,6 @@
 	<-ctx.Done()
 	e.draining.Store(true)
 	e.log.Info().Int64("active", e.relayer.ActiveRequests()).Msg("leaving")
-	callers.SetKeepAlivesEnabled(false)
 	e.drain(callerListener, callers)
 	e.log.Info().Int64("active", e.relayer.ActiveRequests()).Msg("ended")
 	stop()
@@ -175,22 +176,34 @@
 // when few instances are left, and the remaining grace period could be too short to
 // finish their requests. drain returns when no request is in flight and no connection
 // waits for its first request, or when the grace period is nearly over. A graceful
-// shutdown of the server would cut off requests that arrive on such connections.
+// shutdown of the server would cut off requests that arrive on such connections, and so
+// would disabling keep-alives: it closes idle connections, on which a request may just have
+// been read. They are closed after all requests have been answered.
 func (e *EntryInstance) drain(l *closingListener, callers *http.Server) {
 	deadline := time.Now().Add(time.Duration(drainGraceRatio * e.settings.GracePeriodSeconds * float64(time.Second)))
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
+	e.relayer.BeginStop(figseam.DeadlineAfterMillis(drainAcceptMillis), figseam.DeadlineAt(deadline))
 	time.Sleep(drainAcceptMillis * time.Millisecond)
 	select {
 	case <-l.CloseWhenQueueEmpty():
 	case <-ctx.Done():
 	}
+	e.awaitCallers(ctx)
+	e.relayer.EndStop()
+	ctx, cancel = context.WithTimeout(context.Background(), finalAnswersMillis*time.Millisecond)
+	defer cancel()
+	e.awaitCallers(ctx)
+	_ = callers.Close()
+}
+
+// awaitCallers waits until no caller's connection is busy or ctx is done.
+func (e *EntryInstance) awaitCallers(ctx context.Context) {
 	ticker := time.NewTicker(drainPollMillis * time.Millisecond)
 	defer ticker.Stop()
 	for e.callerConns.busy() > 0 && ctx.Err() == nil {
 		<-ticker.C
 	}
-	_ = callers.Close()
 }
 
 // cleanUp closes idle connections that have timed out or whose endpoint is no longer
--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -96,7 +96,7 @@
 	return ""
 }
 
-func startSystem(t *testing.T) *testSystem {
+func startSystem(t *testing.T, change ...func(entry *loader.RelaySettings)) *testSystem {
 	s := &testSystem{t: t, releaseSlow: make(chan struct{}), slowArrived: make(chan struct{}, 8), entryStopped: make(chan error, 1)}
 	s.endpoint = httptest.NewServer(http.HandlerFunc(s.serveEndpoint))
 	s.list = httptest.NewServer(http.HandlerFunc(s.serveList))
@@ -114,6 +114,9 @@
 	s.voter.MetricsAddress, s.voter.DataDir, s.voter.Bootstrap = voter+":"+freePort(t), t.TempDir(), true
 	s.entry.Instance, s.entry.PeerAddress, s.entry.MetricsAddress = "entry", entry+":"+peerPort, entry+":"+freePort(t)
 	s.entry.CallerAddress, s.entry.ReadinessAddress = entry+":"+freePort(t), entry+":"+freePort(t)
+	for _, c := range change {
+		c(&s.entry)
+	}
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Log(s.logs.String())
@@ -279,3 +282,49 @@
 	require.NoError(t, <-s.entryStopped)
 	require.Contains(t, s.logs.String(), `"message":"ended"`)
 }
+
+// TestStoppedEntryAnswersRequestsItHasRead guards against requests that an entry reads in its
+// grace period, passes on and cuts off without an answer at the end: one that is in flight
+// when the entry is told to stop, one on a connection that was idle then, and one that comes
+// late on a connection that was silent.
+func TestStoppedEntryAnswersRequestsItHasRead(t *testing.T) {
+	s := startSystem(t, func(entry *loader.RelaySettings) { entry.GracePeriodSeconds = 5 })
+	defer close(s.releaseSlow)
+	require.Eventually(t, func() bool { return s.putConfig(fmt.Sprintf(configText, 3)) == http.StatusOK }, waitTimeout, pollInterval)
+	require.Eventually(t, s.ready, waitTimeout, pollInterval)
+	inFlight, err := s.dialEntry()
+	require.NoError(t, err)
+	idle, err := s.dialEntry()
+	require.NoError(t, err)
+	require.NoError(t, idle.send("/r/1"))
+	status, _, closes, err := idle.receive()
+	require.NoError(t, err)
+	require.Equal(t, "200 false", strconv.Itoa(status)+" "+strconv.FormatBool(closes))
+	require.NoError(t, inFlight.send("/r/slow"))
+	<-s.slowArrived
+	s.stopEntry()
+	require.Eventually(t, func() bool { return !s.ready() }, waitTimeout, pollInterval)
+	silent, err := s.dialEntry()
+	require.NoError(t, err)
+	require.NoError(t, idle.send("/r/2"))
+	status, _, closes, err = idle.receive()
+	require.NoError(t, err)
+	require.Equal(t, "200 true", strconv.Itoa(status)+" "+strconv.FormatBool(closes))
+	require.Eventually(t, func() bool {
+		c, err := s.dialEntry()
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, waitTimeout, pollInterval)
+	require.NoError(t, silent.send("/r/slow"))
+	status, body, closes, err := silent.receive()
+	require.NoError(t, err)
+	require.Equal(t, "503 true", strconv.Itoa(status)+" "+strconv.FormatBool(closes), "the route's timeout ends after the grace period")
+	require.Equal(t, "instance_stopping\n", body)
+	status, body, _, err = inFlight.receive()
+	require.NoError(t, err)
+	require.Equal(t, "502 instance_stopping\n", strconv.Itoa(status)+" "+body, "it may have run")
+	require.NoError(t, <-s.entryStopped)
+	require.Empty(t, s.slowArrived, "a late request was passed on")
+}
