relayer: a silent engine is given up only if another one can take the stream

Cause: after the timeout the attempt was cancelled before another engine was looked for; without one the caller's connection was closed. Ruled out: a longer timeout (it moves the fault to longer pauses). Before: all four rows of TestSilentStreamIsKeptWithoutOtherEngine fail.

--- a/relayer/cached.go
+++ b/relayer/cached.go
@@ -36,6 +36,19 @@
 	return t.stream(ctx, s, &resumed, figseam.EndpointCall{CacheSource: t.cacheSource(e)})
 }
 
+// resumeSilent resumes a stream at the engine that sent no event in time if no other engine
+// can be had after all: it may be sound. The code is empty if the request has ended;
+// otherwise it is the reason of the refusal.
+func (t *task) resumeSilent(ctx context.Context, silent *placement, refusal figseam.Code) figseam.Code {
+	if silent == nil || requestEnded(refusal) || !t.tryAcquireResume(silent) {
+		return refusal
+	}
+	if code := t.resume(ctx, silent); code == "" || requestEnded(code) {
+		return code
+	}
+	return refusal
+}
+
 // cacheSource returns the address from which a decode engine fetches the cached prompt:
 // that of another engine that has it and appears healthy; empty for none.
 func (t *task) cacheSource(decodeEngine figseam.ListedEndpoint) string {
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -9,18 +9,6 @@
 	"github.com/figseam/figseam/selector"
 )
 
-// eventTimeoutShare is the share of the callers' patience after which an engine without an
-// event is replaced, so that another one can still send an event in time. It applies only
-// to streams that may be retried.
-const eventTimeoutShare = 0.55
-
-// eventTimeoutMillis returns the longest time without an event, at the start or between
-// two events, of a stream that may be retried. It follows from the route's own targets, so
-// that a sound stream whose events come slowly is not broken off.
-func (t *task) eventTimeoutMillis() int64 {
-	return int64(eventTimeoutShare * float64(t.route.PatienceMillis))
-}
-
 // generate relays a request to model engines: a prefill engine, then a decode engine
 // that streams the response. If the route allows it, a broken stream is continued after
 // the last event.
@@ -41,10 +29,12 @@
 	// source is the prefill result that the next decode engine takes, or nil.
 	var source *prefillResult
 	defer func() { t.releaseHandle(source) }()
+	// silent is the last placement whose engine sent no event in time, or nil.
+	var silent *placement
 	for connectFailures, began := 0, time.Now(); !connectRetriesExhausted(connectFailures, began); {
 		p, refusal := t.acquirePlacement(ctx)
 		if p == nil {
-			return refusal
+			return t.resumeSilent(ctx, silent, refusal)
 		}
 		if t.quarantined() {
 			t.releasePlacement(p)
@@ -90,8 +80,8 @@
 			source = nil
 			connectFailures++
 			continue
-		case explainer.CallerDisconnected, explainer.DeadlineExceeded:
-			return code
+		case explainer.EndpointTimedOut:
+			silent = p
 		case explainer.EndpointRejected:
 			t.releaseHandle(source)
 			t.attributeRejection(p, source)
@@ -202,17 +192,6 @@
 	t.logRequest(logLevel(s.status), s.logCode, s.status)
 }
 
-// watchEvents starts a timer that cancels the attempt if no event arrives in time,
-// provided that the request may be retried at another endpoint. reset restarts the timer
-// with the timeout between two events, and stop stops it.
-func (s *stream) watchEvents(cancel context.CancelCauseFunc) (reset func(), stop func()) {
-	if s.route.PatienceMillis <= 0 || !s.route.Semantics.Retryable() || s.attempts+1 >= s.route.MaxAttempts || s.Budget.Remaining(s.service) < 1 {
-		return func() {}, func() {}
-	}
-	timer := time.AfterFunc(time.Duration(s.firstEventTimeoutMillis)*time.Millisecond, func() { cancel(errAttemptTimeout) })
-	return func() { timer.Reset(time.Duration(s.eventTimeoutMillis()) * time.Millisecond) }, func() { timer.Stop() }
-}
-
 // recordLoad records the load that the endpoint reported in its response header.
 func (s *stream) recordLoad(head figseam.ResponseHead) {
 	if head.Load != nil {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -49,8 +49,8 @@
 	defer func() { s.inFlight.Finish(endpointResult) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	resetTimer, stopTimer := s.watchEvents(cancel)
-	defer stopTimer()
+	watch := s.watchEvents(cancel)
+	defer watch.stop()
 	response, head, code := s.send(ctx, call)
 	s.mayHaveRun = s.mayHaveRun || (!unsent(code) && code != explainer.EndpointRejected)
 	s.recordLoad(head)
@@ -69,7 +69,7 @@
 	if !head.Signed {
 		return explainer.InvalidResponse
 	}
-	code = s.relayEvents(ctx, response, resetTimer)
+	code = s.relayEvents(ctx, response, watch)
 	endpointResult = resultOf(code)
 	s.recordAnswerEnd(ctx, code)
 	s.status, s.logCode = response.Status, explainer.ResponseRelayed
@@ -101,7 +101,7 @@
 }
 
 // relayEvents relays each event once it is complete.
-func (s *stream) relayEvents(ctx context.Context, r *connector.Response, resetTimer func()) figseam.Code {
+func (s *stream) relayEvents(ctx context.Context, r *connector.Response, watch *eventWatch) figseam.Code {
 	reader := bufio.NewReader(r)
 	for {
 		event, err := readEvent(reader)
@@ -112,7 +112,7 @@
 			return errorCode(ctx, err)
 		}
 		if hasData(event) {
-			resetTimer()
+			watch.reset(s.eventTimeoutMillis())
 			s.inFlight.RecordResponse()
 			s.recordEvent()
 			s.finishPrefill()
