--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -165,7 +165,7 @@
 }
 
 func (s *testSystem) serveList(w http.ResponseWriter, _ *http.Request) {
-	_, _ = fmt.Fprintf(w, `{"instances":[{"id":"e","service":"s","address":%q,"zone":"here","state":"ready","slots":8}],"next_token":null}`,
+	_, _ = fmt.Fprintf(w, `{"instances":[{"id":"e","service":"s","address":%q,"zone":"here","version":"v1","state":"ready","slots":8,"cold_remaining_ms":0}],"next_token":null}`,
 		s.endpoint.Listener.Addr().String())
 }
 
