runner, messenger: heads of answers to control calls are bounded like those of requests

Cause: the limit of 64 KiB applied to the connector and the dialer only. Ruled out for their bodies: they were bounded. Before: TestLongHeadsAreRejected fails for the state of an engine, an order and the list (a head of 1 MiB is taken). After: they are refused, as are such heads from peers and from engines in the mode with named objects.

--- a/cmd/figload/benchmarker/replication.go
+++ b/cmd/figload/benchmarker/replication.go
@@ -71,7 +71,9 @@
 }
 
 func (t *memoryTransport) Leave(ctx context.Context, to figseam.InstanceID, r replicator.LeaveRequest) (replicator.LeaveReply, error) {
-	return callNode(t, to, r, func(n *replicator.Node, r replicator.LeaveRequest) replicator.LeaveReply { return n.HandleLeave(ctx, r) })
+	return callNode(t, to, r, func(n *replicator.Node, r replicator.LeaveRequest) replicator.LeaveReply {
+		return n.HandleLeave(ctx, r)
+	})
 }
 
 func (t *memoryTransport) Propose(ctx context.Context, to figseam.InstanceID, r replicator.ProposeRequest) (replicator.ProposeReply, error) {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/recoverer"
 )
 
@@ -51,7 +52,7 @@
 	}
 	baseCtx, cancelBase := context.WithCancel(context.Background())
 	return &Messenger{
-		self: self, client: &http.Client{Transport: &http.Transport{DialContext: dial}}, log: log,
+		self: self, client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: limiter.MaxHeadBytes}}, log: log,
 		sentTraffic: newTrafficCounter(), baseCtx: baseCtx, cancelBase: cancelBase,
 		handlers: map[string]rawHandler{}, peers: map[string]*peer{},
 	}
--- a/runner/assembly.go
+++ b/runner/assembly.go
@@ -20,6 +20,7 @@
 	"github.com/figseam/figseam/forwarder"
 	"github.com/figseam/figseam/gateway"
 	"github.com/figseam/figseam/journaler"
+	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/loader"
 	"github.com/figseam/figseam/messenger"
 	"github.com/figseam/figseam/meter"
@@ -87,8 +88,9 @@
 // handlers of messages from other instances.
 func (i *Instance) assemble(options Options) {
 	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: engineDialTimeoutMillis * time.Millisecond}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerEngine,
+		DialContext:            (&net.Dialer{Timeout: engineDialTimeoutMillis * time.Millisecond}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerEngine,
+		MaxResponseHeaderBytes: limiter.MaxHeadBytes,
 	}}
 	engineDialer := dialer.New(client)
 	i.quarantine = quarantiner.New(i.log)
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -38,8 +38,6 @@
 	gcPercent        = 50
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 128 << 10
-	// listDialTimeoutMillis limits the time to open a connection to the platform.
-	listDialTimeoutMillis = 500
 )
 
 // base holds the components that entries and voters share.
@@ -76,12 +74,7 @@
 // openEndpointList creates the endpoint list, which the instance reads from the platform
 // when its copy is older than maxAge.
 func (b *base) openEndpointList(maxAge func() time.Duration) {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: listDialTimeoutMillis * time.Millisecond}).DialContext,
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
-	}}
-	b.list = lister.New(platform.NewEndpointSource(client, b.settings.ListAddress, b.log), maxAge, b.log)
+	b.list = lister.New(platform.NewEndpointSource(newListClient(), b.settings.ListAddress, b.log), maxAge, b.log)
 }
 
 // fractionOfEndpointDrain returns a fraction of EndpointDrainMillis, the time for which
--- a/runner/stages.go
+++ b/runner/stages.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,8 +73,7 @@
 
 // newStageManager returns the stage manager of a voter.
 func newStageManager(v *Voter) *stageManager {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	return &stageManager{Voter: v, controller: platform.NewStageController(client), quorumReader: keeper.NewStore(v.node), pendingChanges: map[string]pendingChange{}, churnHistories: map[string]churnHistory{}}
+	return &stageManager{Voter: v, controller: platform.NewStageController(newEngineClient()), quorumReader: keeper.NewStore(v.node), pendingChanges: map[string]pendingChange{}, churnHistories: map[string]churnHistory{}}
 }
 
 // changeStages records the churn of all services. If this voter may send orders, it
