--- a/limiter/body.go
+++ b/limiter/body.go
@@ -46,6 +46,13 @@
 	return false
 }
 
+// TryAcquire takes bytes from the budget for a purpose other than a [Body]. It reports false
+// and takes none if fewer remain. They must be released.
+func (b *Budget) TryAcquire(bytes int) bool { return b.tryAcquire(int64(bytes)) }
+
+// Release returns bytes that TryAcquire has taken.
+func (b *Budget) Release(bytes int) { b.remaining.Add(int64(bytes)) }
+
 // Body is a body in memory. It must be released when it is no longer used.
 type Body struct {
 	budget   *Budget
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -1,7 +1,6 @@
 package relayer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -19,12 +18,6 @@
 	"github.com/figseam/figseam/selector"
 )
 
-// maxEventBytes bounds an event, which is held in memory until it is complete.
-const maxEventBytes = 256 << 10
-
-// errEventTooLarge reports an event that is longer than maxEventBytes.
-var errEventTooLarge = errors.New("event of the stream is too large")
-
 // stream is one attempt whose response is a stream of server-sent events.
 type stream struct {
 	*task
@@ -102,9 +95,10 @@
 
 // relayEvents relays each event once it is complete.
 func (s *stream) relayEvents(ctx context.Context, r *connector.Response, watch *eventWatch) figseam.Code {
-	reader := bufio.NewReader(r)
+	reader := newEventReader(r, s.responseMemory)
+	defer reader.release()
 	for {
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			return s.finishResponse(r, event)
 		}
@@ -120,7 +114,7 @@
 		if !s.relayEvent(r, event) {
 			return explainer.CallerDisconnected
 		}
-		if reader.Buffered() == 0 && s.control.Flush() != nil {
+		if reader.buffered() == 0 && s.control.Flush() != nil {
 			return explainer.CallerDisconnected
 		}
 	}
@@ -180,49 +174,6 @@
 	return ""
 }
 
-// readEvent reads up to the blank line that ends an event. It returns the remaining
-// bytes together with io.EOF, and errEventTooLarge for an event that is too long.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var event []byte
-	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case len(event) > maxEventBytes:
-			return nil, errEventTooLarge
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case err != nil:
-			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
-			return event, nil
-		}
-	}
-}
-
-var (
-	idField       = []byte("id:")
-	dataField     = []byte("data:")
-	nextDataField = []byte("\ndata:")
-)
-
-// hasData reports whether an event has a data field. Without one it is a comment or a blank
-// line, which a stalled engine may send as well.
-func hasData(event []byte) bool {
-	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, nextDataField)
-}
-
-// eventID returns the ID of an event. It reports false if the event has no numeric ID.
-func eventID(event []byte) (int64, bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
-			return id, err == nil
-		}
-	}
-	return 0, false
-}
-
 // logLevel returns the level at which a response with the status is logged.
 func logLevel(status int) zerolog.Level {
 	if status >= http.StatusInternalServerError {
--- a/relayer/streaming_test.go
+++ b/relayer/streaming_test.go
@@ -9,6 +9,8 @@
 	"testing/iotest"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam/limiter"
 )
 
 // FuzzReadEvent checks that the events and the remainder of a stream are its bytes,
@@ -18,10 +20,16 @@
 	f.Add(bytes.Repeat([]byte("x\n"), maxEventBytes))
 	f.Add(bytes.Repeat([]byte("x"), maxEventBytes+1))
 	f.Fuzz(func(t *testing.T, stream []byte) {
-		r := bufio.NewReaderSize(iotest.HalfReader(bytes.NewReader(stream)), 64)
+		budget := limiter.NewBudget(2 * maxEventBytes)
+		r := newEventReader(nil, budget)
+		r.source = bufio.NewReaderSize(iotest.HalfReader(bytes.NewReader(stream)), 64)
+		defer func() {
+			r.release()
+			require.True(t, budget.TryAcquire(2*maxEventBytes), "memory is not returned")
+		}()
 		var read []byte
 		for {
-			event, err := readEvent(r)
+			event, err := r.next()
 			if errors.Is(err, errEventTooLarge) {
 				require.Greater(t, len(stream)-len(read), maxEventBytes)
 				return
@@ -54,3 +62,35 @@
 		require.Equal(t, test.want, hasData([]byte(test.event)), "%q", test.event)
 	}
 }
+
+// endlessLine is a line without an end.
+type endlessLine struct{}
+
+func (endlessLine) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'x'
+	}
+	return len(p), nil
+}
+
+// TestEndlessEventsShareMemory guards against many streams that each hold a long event: together
+// they must not take up the memory of the instance.
+func TestEndlessEventsShareMemory(t *testing.T) {
+	const streams, budgetBytes = 200, 1 << 20
+	budget := limiter.NewBudget(budgetBytes)
+	heldBytes := 0
+	var readers []*eventReader
+	for range streams {
+		r := newEventReader(endlessLine{}, budget)
+		_, err := r.next()
+		require.Error(t, err)
+		heldBytes += cap(r.event)
+		readers = append(readers, r)
+	}
+	require.LessOrEqual(t, heldBytes, budgetBytes+streams*2*freeEventBytes)
+	for _, r := range readers {
+		r.release()
+	}
+	require.True(t, budget.TryAcquire(budgetBytes), "memory is not returned")
+	require.False(t, budget.TryAcquire(1))
+}
