lister, connector, relayer: an endpoint that says that it leaves gets no new work

Cause: Server-Leaving was read nowhere. The connector shows the head of each response on a connection, also interim and earlier ones; the list counts the endpoint's run as draining at this instance; the relayer already asks the list before it sends. Not shared with other instances: the list tells them within its lag, and a false statement stays with one.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -60,6 +60,9 @@
 	// to that one as its own.
 	IDHeader string
 	ID       string
+	// ObserveHead, if set, is called with the head of each response on the connection while
+	// it carries the request: interim ones, responses to earlier requests, and its own.
+	ObserveHead func(status int, header http.Header)
 }
 
 // idleKey identifies the idle connections that a request may use.
@@ -274,7 +277,7 @@
 }
 
 func (x *exchange) readHeader() (*Response, error) {
-	h, err := x.conn.readResponse(&http.Request{Method: x.request.Method})
+	h, err := x.conn.readResponse(&http.Request{Method: x.request.Method}, x.request.ObserveHead)
 	if err != nil {
 		return nil, err
 	}
--- a/connector/reading.go
+++ b/connector/reading.go
@@ -21,8 +21,9 @@
 }
 
 // readResponse reads the head of the next response and skips interim responses. It returns
-// [limiter.ErrHeadTooLarge] if they are too long together.
-func (r *responseReader) readResponse(request *http.Request) (*http.Response, error) {
+// [limiter.ErrHeadTooLarge] if they are too long together. observe, if set, is called with
+// each head.
+func (r *responseReader) readResponse(request *http.Request, observe func(status int, header http.Header)) (*http.Response, error) {
 	r.head.Begin()
 	defer r.head.End()
 	for {
@@ -30,6 +31,9 @@
 		if err != nil {
 			return nil, r.head.CheckedError(err)
 		}
+		if observe != nil {
+			observe(response.StatusCode, response.Header)
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
@@ -40,5 +44,5 @@
 // request. It skips interim responses, and returns [limiter.ErrHeadTooLarge] if the head is
 // too long.
 func ReadResponse(source io.Reader, request *http.Request) (*http.Response, error) {
-	return newResponseReader(source).readResponse(request)
+	return newResponseReader(source).readResponse(request, nil)
 }
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -73,6 +73,10 @@
 	// suspended holds the endpoints, by ID, that are listed as draining until a deadline
 	// or until the platform lists them with another stage.
 	suspended map[string]suspension
+	// leaving holds the runs of endpoints that said in an answer to this instance that they
+	// leave, with the time at which they were last listed. It is not part of the list that
+	// other instances receive.
+	leaving map[endpointRun]time.Time
 }
 
 // suspension holds the end of an endpoint's suspension and the endpoint's stage at the
@@ -85,7 +89,7 @@
 // New returns an empty list. maxAge returns the age of the list at which this instance
 // reads the source.
 func New(source Source, maxAge func() time.Duration, log zerolog.Logger) *EndpointList {
-	return &EndpointList{source: source, maxAge: maxAge, log: log, changed: make(chan struct{}), suspended: map[string]suspension{}}
+	return &EndpointList{source: source, maxAge: maxAge, log: log, changed: make(chan struct{}), suspended: map[string]suspension{}, leaving: map[endpointRun]time.Time{}}
 }
 
 // Run reads the source whenever the list is older than maxAge allows, until ctx ends. It
@@ -205,14 +209,8 @@
 	l.log.Info().Int("endpoints", len(endpoints)).Int("before", len(l.endpoints)).Uint64("digest", digest).Msg("endpoint list changed")
 	l.history.record(l.digest, l.endpoints, endpoints)
 	l.endpoints, l.digest = endpoints, digest
-	l.byService = map[string][]figseam.ListedEndpoint{}
-	l.byAddress = map[string]figseam.ListedEndpoint{}
-	l.byID = map[string]figseam.ListedEndpoint{}
-	for _, e := range endpoints {
-		l.byID[e.ID] = e
-		l.byService[e.Service] = append(l.byService[e.Service], e)
-		l.byAddress[e.Address] = e
-	}
+	l.forgetEndedRuns()
+	l.index()
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
--- a/relayer/sending.go
+++ b/relayer/sending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/connector"
@@ -27,12 +28,23 @@
 		return nil, errEndpointLeaving
 	}
 	r.Throttle.RecordSend(e)
+	return r.sendObserved(ctx, e, request)
+}
+
+// sendObserved sends a request and records what the endpoint says of itself in the heads of
+// all answers.
+func (r *Relayer) sendObserved(ctx context.Context, e figseam.ListedEndpoint, request connector.Request) (*connector.Response, error) {
+	request.ObserveHead = func(status int, header http.Header) {
+		if notice := r.Codec.DecodeNotice(status, header); notice.Leaving {
+			r.EndpointList.RecordLeaving(e)
+		}
+	}
 	return r.Connector.Do(ctx, request)
 }
 
 // sendRelease sends a call that frees resources of an endpoint, whatever its state.
-func (r *Relayer) sendRelease(ctx context.Context, _ figseam.ListedEndpoint, request connector.Request) (*connector.Response, error) {
-	return r.Connector.Do(ctx, request)
+func (r *Relayer) sendRelease(ctx context.Context, e figseam.ListedEndpoint, request connector.Request) (*connector.Response, error) {
+	return r.sendObserved(ctx, e, request)
 }
 
 // unsent reports whether an attempt with a code that is not empty sent nothing to its
--- a/runner/clients_test.go
+++ b/runner/clients_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/lister"
 	"github.com/figseam/figseam/platform"
 )
 
@@ -28,11 +29,11 @@
 		call func() error
 	}{
 		{"state of an engine", func() error {
-			_, err := platform.NewStageController(newEngineClient()).QueryState(t.Context(), e)
+			_, err := platform.NewStageController(newEngineClient(), func(figseam.ListedEndpoint, figseam.EndpointNotice) {}).QueryState(t.Context(), e)
 			return err
 		}},
 		{"order to an engine", func() error {
-			_, err := platform.NewStageController(newEngineClient()).ChangeStage(t.Context(), e, figseam.StageChange{})
+			_, err := platform.NewStageController(newEngineClient(), func(figseam.ListedEndpoint, figseam.EndpointNotice) {}).ChangeStage(t.Context(), e, figseam.StageChange{})
 			return err
 		}},
 		{"list", func() error {
@@ -46,3 +47,37 @@
 		})
 	}
 }
+
+// TestEnginesNoticesReachTheList guards against orders to an engine that says in its answers to
+// a voter that it leaves.
+func TestEnginesNoticesReachTheList(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Server-Leaving", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	e := figseam.ListedEndpoint{ID: "e", Service: "s", Address: server.Listener.Addr().String()}
+	tests := []struct {
+		name string
+		call func(c *platform.StageController) error
+	}{
+		{"query of the state", func(c *platform.StageController) error {
+			_, err := c.QueryState(t.Context(), e)
+			return err
+		}},
+		{"order", func(c *platform.StageController) error {
+			_, err := c.ChangeStage(t.Context(), e, figseam.StageChange{})
+			return err
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := &Voter{base: &base{list: lister.New(nil, nil, zerolog.Nop())}}
+			v.list.Merge(lister.Snapshot{Loaded: true, Digest: 1, Endpoints: []figseam.ListedEndpoint{e}})
+			require.False(t, v.list.SaysItLeaves(e))
+			_ = tt.call(platform.NewStageController(newEngineClient(), v.recordNotice))
+			require.True(t, v.list.SaysItLeaves(e))
+			require.False(t, v.list.AcceptsWork(e))
+		})
+	}
+}
--- a/runner/stages.go
+++ b/runner/stages.go
@@ -73,7 +73,14 @@
 
 // newStageManager returns the stage manager of a voter.
 func newStageManager(v *Voter) *stageManager {
-	return &stageManager{Voter: v, controller: platform.NewStageController(newEngineClient()), quorumReader: keeper.NewStore(v.node), pendingChanges: map[string]pendingChange{}, churnHistories: map[string]churnHistory{}}
+	return &stageManager{Voter: v, controller: platform.NewStageController(newEngineClient(), v.recordNotice), quorumReader: keeper.NewStore(v.node), pendingChanges: map[string]pendingChange{}, churnHistories: map[string]churnHistory{}}
+}
+
+// recordNotice records what an engine said of itself.
+func (v *Voter) recordNotice(e figseam.ListedEndpoint, notice figseam.EndpointNotice) {
+	if notice.Leaving {
+		v.list.RecordLeaving(e)
+	}
 }
 
 // changeStages records the churn of all services. If this voter may send orders, it
@@ -200,8 +207,9 @@
 	for _, c := range changes {
 		tasks.Go(func() {
 			state, err := s.controller.QueryState(ctx, c.Endpoint)
-			if err != nil || state.ChangingStage || state.Stage != c.Endpoint.Stage {
-				log.Info().Err(err).Str("endpoint", c.Endpoint.ID).Bool("busy", state.ChangingStage).Msg("engine not ordered")
+			leaving := s.list.SaysItLeaves(c.Endpoint)
+			if err != nil || leaving || state.ChangingStage || state.Stage != c.Endpoint.Stage {
+				log.Info().Err(err).Str("endpoint", c.Endpoint.ID).Bool("busy", state.ChangingStage).Bool("leaving", leaving).Msg("engine not ordered")
 				return
 			}
 			order := figseam.StageChange{
--- a/wire.go
+++ b/wire.go
@@ -111,6 +111,13 @@
 	RequestLimit *float64
 }
 
+// EndpointNotice is what an endpoint says of itself in the head of an answer, whatever the
+// answer is.
+type EndpointNotice struct {
+	// Leaving reports that the endpoint is about to stop and takes no new work.
+	Leaving bool
+}
+
 // EndpointLoad is the load that an endpoint reports in a response.
 type EndpointLoad struct {
 	Running int
@@ -133,6 +140,8 @@
 	EncodeCallHeader(call EndpointCall) http.Header
 	// DecodeResponseHead decodes the headers of an endpoint's response.
 	DecodeResponseHead(status int, header http.Header) ResponseHead
+	// DecodeNotice decodes what an endpoint says of itself in the head of any answer.
+	DecodeNotice(status int, header http.Header) EndpointNotice
 	// DecodeHandle decodes the response body of a prefill.
 	DecodeHandle(body []byte) (PrefillHandle, error)
 	// HandleReleasePath returns the target of the DELETE request that releases a handle.
