throttler, relayer, runner: an endpoint that asks for a pause gets nothing until it ends

Callers were sent to endpoints that had just turned others away. Voters keep pauses of engines for their orders, too. The soak's endpoints leave and ask for pauses; what arrives meanwhile is not checked there, since a pause concerns one instance.

--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -74,6 +74,7 @@
 	PromptQuarantined      figseam.Code = "prompt_quarantined"
 	EndpointLimited        figseam.Code = "endpoint_limited"
 	InstanceStopping       figseam.Code = "instance_stopping"
+	EndpointPaused         figseam.Code = "endpoint_paused"
 	EndpointLeaving        figseam.Code = "endpoint_leaving"
 )
 
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -401,6 +401,13 @@
 		Action:      "None: callers try again at another instance. If frequent, look whether callers are led away from instances that are not ready.",
 		Since:       "0.5",
 	},
+	{
+		Code:        "endpoint_paused",
+		Title:       "Endpoints asked for a pause",
+		Description: "The endpoints that could take the request answered this instance 503 with a Retry-After that has not passed. The request was not sent.",
+		Action:      "Look at the lines \"endpoint asks for a pause\" and why the endpoints are in need; if it lasts, add endpoints.",
+		Since:       "0.5",
+	},
 	{
 		Code:        "endpoint_leaving",
 		Title:       "Endpoint is leaving",
--- a/relayer/cached.go
+++ b/relayer/cached.go
@@ -22,7 +22,7 @@
 // which may have begun to leave since it was chosen. If so, it consumes one retry from the budget.
 func (t *task) tryAcquireResume(broken *placement) bool {
 	e := broken.choice.Candidate.Endpoint
-	return t.route.Semantics.Retryable() && t.acceptsWork(e) && t.Throttle.Allows(e) && t.Budget.TryAcquire(t.service)
+	return t.route.Semantics.Retryable() && t.checkWork(e) == nil && t.Throttle.Allows(e) && t.Budget.TryAcquire(t.service)
 }
 
 // resume resumes a broken stream at the same engine, which has the prompt cached if it
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -57,6 +57,8 @@
 	switch {
 	case errors.Is(err, errEndpointLeaving):
 		return explainer.EndpointLeaving
+	case errors.Is(err, errEndpointPaused):
+		return explainer.EndpointPaused
 	case errors.Is(err, connector.ErrNotSent):
 		return explainer.ConnectFailed
 	case errors.Is(err, connector.ErrMismatchedResponse), errors.Is(err, errReservationRepeated):
@@ -170,7 +172,7 @@
 	switch code {
 	case "":
 		return selector.ResultSuccess
-	case explainer.EndpointLeaving:
+	case explainer.EndpointLeaving, explainer.EndpointPaused:
 		return selector.ResultIgnored
 	case explainer.ConnectFailed:
 		return selector.ResultUnreachable
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -53,7 +53,7 @@
 		}
 		code = t.decode(ctx, p, source)
 		if code == explainer.ConnectionLost && !t.quarantined() && t.tryAcquireResume(p) {
-			if code = t.resume(ctx, p); code == explainer.EndpointLeaving {
+			if code = t.resume(ctx, p); unsent(code) {
 				code = explainer.ConnectionLost
 			}
 		}
@@ -68,7 +68,7 @@
 		case "":
 			source = nil
 			return ""
-		case explainer.EndpointLeaving:
+		case explainer.EndpointLeaving, explainer.EndpointPaused:
 			// Another decode engine takes the prefill result.
 			t.releaseReservation(p)
 			prefilling = prefilling && source == nil
--- a/relayer/placing_test.go
+++ b/relayer/placing_test.go
@@ -26,7 +26,9 @@
 // method panics.
 type reservationCodec struct{ figseam.WireCodec }
 
-func (reservationCodec) DecodeNotice(int, http.Header) figseam.EndpointNotice { return figseam.EndpointNotice{} }
+func (reservationCodec) DecodeNotice(int, http.Header) figseam.EndpointNotice {
+	return figseam.EndpointNotice{}
+}
 
 func (reservationCodec) EncodeReservation(int, int64) (target string, body []byte) {
 	return "/hold", []byte("x")
--- a/relayer/queueing.go
+++ b/relayer/queueing.go
@@ -52,7 +52,7 @@
 		return nil, code
 	}
 	if float64(now.Sub(waitingSince).Milliseconds())+wait > maxStartDelayMillis {
-		t.retryAfterMillis = max(0, wait-retryAdvanceMillis)
+		t.retryAfterMillis = retryAfterMillis(wait, code)
 		return nil, code
 	}
 	u.waiter = queuer.Waiter{Priority: t.route.Priority, StartDeadline: startBy, ArrivedAt: t.began, Tokens: u.tokens}
@@ -157,7 +157,11 @@
 		return queuer.ExpectedWaitMillis(load, u.tokens, now, startBy), explainer.NoDecodeCapacity
 	}
 	code = u.noEndpointCode(figseam.EndpointStageDecode)
-	if code != explainer.EndpointLimited {
+	switch code {
+	case explainer.EndpointPaused:
+		return u.retryAfterMillis, code
+	case explainer.EndpointLimited:
+	default:
 		return 0, code
 	}
 	return u.retryAfterMillis * float64(1+load.QueuedTokens/max(1, u.tokens)), code
@@ -165,6 +169,15 @@
 
 // setRetryAfter sets retryAfterMillis from the current load.
 func (t *task) setRetryAfter(u *queuedRequest) {
-	wait, _ := u.expectedWait(time.Now(), u.waiter.StartDeadline)
-	t.retryAfterMillis = max(0, wait-retryAdvanceMillis)
+	wait, code := u.expectedWait(time.Now(), u.waiter.StartDeadline)
+	t.retryAfterMillis = retryAfterMillis(wait, code)
+}
+
+// retryAfterMillis returns the Retry-After for an expected wait. The end of a pause does not
+// come sooner if other callers give up.
+func retryAfterMillis(waitMillis float64, code figseam.Code) float64 {
+	if code == explainer.EndpointPaused {
+		return waitMillis
+	}
+	return max(0, waitMillis-retryAdvanceMillis)
 }
--- a/relayer/sending.go
+++ b/relayer/sending.go
@@ -10,22 +10,30 @@
 	"github.com/figseam/figseam/explainer"
 )
 
-// errEndpointLeaving reports an endpoint that may no longer receive new work. Nothing was
-// sent to it.
-var errEndpointLeaving = errors.New("endpoint is leaving")
-
-// acceptsWork reports whether an endpoint may receive new work now. Every path that sends to
-// an endpoint asks it, when it chooses the endpoint and when it sends: an endpoint may begin
-// to leave in between.
-func (r *Relayer) acceptsWork(e figseam.ListedEndpoint) bool {
-	return r.EndpointList.AcceptsWork(e)
+// errEndpointLeaving and errEndpointPaused report an endpoint that may receive no new work, for
+// good or for now. Nothing was sent to it.
+var (
+	errEndpointLeaving = errors.New("endpoint is leaving")
+	errEndpointPaused  = errors.New("endpoint asked for a pause")
+)
+
+// checkWork returns an error if an endpoint may receive no new work now. Every path that sends
+// to an endpoint asks it, when it chooses the endpoint and when it sends: an endpoint may begin
+// to leave, or ask for a pause, in between.
+func (r *Relayer) checkWork(e figseam.ListedEndpoint) error {
+	switch {
+	case !r.EndpointList.AcceptsWork(e):
+		return errEndpointLeaving
+	case r.Throttle.Paused(e):
+		return errEndpointPaused
+	}
+	return nil
 }
 
-// sendWork sends new work to an endpoint. It returns errEndpointLeaving if the endpoint may
-// not receive any.
+// sendWork sends new work to an endpoint, unless checkWork returns an error.
 func (r *Relayer) sendWork(ctx context.Context, e figseam.ListedEndpoint, request connector.Request) (*connector.Response, error) {
-	if !r.acceptsWork(e) {
-		return nil, errEndpointLeaving
+	if err := r.checkWork(e); err != nil {
+		return nil, err
 	}
 	r.Throttle.RecordSend(e)
 	return r.sendObserved(ctx, e, request)
@@ -35,20 +43,26 @@
 // all answers.
 func (r *Relayer) sendObserved(ctx context.Context, e figseam.ListedEndpoint, request connector.Request) (*connector.Response, error) {
 	request.ObserveHead = func(status int, header http.Header) {
-		if notice := r.Codec.DecodeNotice(status, header); notice.Leaving {
+		notice := r.Codec.DecodeNotice(status, header)
+		if notice.Leaving {
 			r.EndpointList.RecordLeaving(e)
 		}
+		r.Throttle.RecordPause(e, notice.PauseMillis)
 	}
 	return r.Connector.Do(ctx, request)
 }
 
-// sendRelease sends a call that frees resources of an endpoint, whatever its state.
+// sendRelease sends a call that frees resources of an endpoint, also of one that leaves. One
+// that asked for a pause frees them itself once they expire.
 func (r *Relayer) sendRelease(ctx context.Context, e figseam.ListedEndpoint, request connector.Request) (*connector.Response, error) {
+	if r.Throttle.Paused(e) {
+		return nil, errEndpointPaused
+	}
 	return r.sendObserved(ctx, e, request)
 }
 
 // unsent reports whether an attempt with a code that is not empty sent nothing to its
 // endpoint.
 func unsent(code figseam.Code) bool {
-	return code == explainer.ConnectFailed || code == explainer.EndpointLeaving
+	return code == explainer.ConnectFailed || code == explainer.EndpointLeaving || code == explainer.EndpointPaused
 }
--- a/runner/clients_test.go
+++ b/runner/clients_test.go
@@ -13,6 +13,7 @@
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/lister"
 	"github.com/figseam/figseam/platform"
+	"github.com/figseam/figseam/throttler"
 )
 
 // TestLongHeadsAreRejected guards against an engine or a list whose head takes up the memory
@@ -49,10 +50,11 @@
 }
 
 // TestEnginesNoticesReachTheList guards against orders to an engine that says in its answers to
-// a voter that it leaves.
+// a voter that it leaves, or that asks it for a pause.
 func TestEnginesNoticesReachTheList(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Retry-After", "60")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	defer server.Close()
@@ -72,12 +74,13 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			v := &Voter{base: &base{list: lister.New(nil, nil, zerolog.Nop())}}
+			v := &Voter{base: &base{list: lister.New(nil, nil, zerolog.Nop())}, pauses: throttler.New("", zerolog.Nop())}
 			v.list.Merge(lister.Snapshot{Loaded: true, Digest: 1, Endpoints: []figseam.ListedEndpoint{e}})
 			require.False(t, v.list.SaysItLeaves(e))
 			_ = tt.call(platform.NewStageController(newEngineClient(), v.recordNotice))
 			require.True(t, v.list.SaysItLeaves(e))
 			require.False(t, v.list.AcceptsWork(e))
+			require.True(t, v.pauses.Paused(e))
 		})
 	}
 }
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -90,6 +90,7 @@
 	e.meter.RegisterGauge("figseam_requests_active", "Requests under way.", func() float64 { return float64(e.relayer.ActiveRequests()) })
 	e.meter.RegisterGauge("figseam_quarantined_parts", "Prompt parts that are quarantined because engines crash on them.", func() float64 { return float64(e.quarantine.Len()) })
 	e.meter.RegisterGauge("figseam_limited_endpoints", "Endpoints that name a limit on the requests that they take.", func() float64 { return float64(e.throttle.Len()) })
+	e.meter.RegisterGauge("figseam_paused_endpoints", "Endpoints that asked this instance for a pause.", func() float64 { return float64(e.throttle.PausedCount()) })
 	e.meter.RegisterGauge("figseam_leaving_endpoints", "Listed endpoints that said that they leave.", func() float64 { return float64(e.list.LeavingCount()) })
 	return e
 }
--- a/runner/stages.go
+++ b/runner/stages.go
@@ -81,6 +81,7 @@
 	if notice.Leaving {
 		v.list.RecordLeaving(e)
 	}
+	v.pauses.RecordPause(e, notice.PauseMillis)
 }
 
 // changeStages records the churn of all services. If this voter may send orders, it
@@ -184,11 +185,19 @@
 	}
 	var tasks sync.WaitGroup
 	for _, o := range orders {
-		tasks.Go(func() { s.sendOrder(ctx, log, o) })
+		if s.takesOrders(o.change.Endpoint) {
+			tasks.Go(func() { s.sendOrder(ctx, log, o) })
+		}
 	}
 	tasks.Wait()
 }
 
+// takesOrders reports whether an engine has neither said that it leaves nor asked this voter for
+// a pause.
+func (s *stageManager) takesOrders(e figseam.ListedEndpoint) bool {
+	return !s.list.SaysItLeaves(e) && !s.pauses.Paused(e)
+}
+
 // plannedOrder is a change and the order that carries it out.
 type plannedOrder struct {
 	change rebalancer.Change
@@ -205,11 +214,14 @@
 	var orders []plannedOrder
 	var tasks sync.WaitGroup
 	for _, c := range changes {
+		if !s.takesOrders(c.Endpoint) {
+			continue
+		}
 		tasks.Go(func() {
 			state, err := s.controller.QueryState(ctx, c.Endpoint)
-			leaving := s.list.SaysItLeaves(c.Endpoint)
-			if err != nil || leaving || state.ChangingStage || state.Stage != c.Endpoint.Stage {
-				log.Info().Err(err).Str("endpoint", c.Endpoint.ID).Bool("busy", state.ChangingStage).Bool("leaving", leaving).Msg("engine not ordered")
+			takesOrders := s.takesOrders(c.Endpoint)
+			if err != nil || !takesOrders || state.ChangingStage || state.Stage != c.Endpoint.Stage {
+				log.Info().Err(err).Str("endpoint", c.Endpoint.ID).Bool("busy", state.ChangingStage).Bool("takes_orders", takesOrders).Msg("engine not ordered")
 				return
 			}
 			order := figseam.StageChange{
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -18,6 +18,7 @@
 	"github.com/figseam/figseam/platform"
 	"github.com/figseam/figseam/quarantiner"
 	"github.com/figseam/figseam/replicator"
+	"github.com/figseam/figseam/throttler"
 )
 
 const (
@@ -47,6 +48,8 @@
 	// peerSender decides what sendLoad sends to the other voters.
 	peerSender *aggregator.PeerSender
 	quarantine *quarantiner.Quarantine
+	// pauses holds the pauses that engines asked this voter for.
+	pauses *throttler.Throttle
 	// evidence decides what of it is sent to the other voters.
 	evidence *quarantiner.Broadcaster
 	seeds    atomic.Pointer[[]figseam.InstanceID]
@@ -86,6 +89,7 @@
 
 // handleLoads registers the handlers of the messages on load and quarantined prompt parts.
 func (v *Voter) handleLoads() {
+	v.pauses = throttler.New(v.settings.PeerID(), v.log)
 	v.loads, v.peerSender = aggregator.New(), aggregator.NewPeerSender()
 	v.quarantine = quarantiner.New(v.log)
 	v.evidence = quarantiner.NewBroadcaster(v.quarantine)
@@ -212,6 +216,7 @@
 	evidence, whole := v.evidence.Next()
 	if whole {
 		v.quarantine.EvictExpired()
+		v.pauses.EvictExpired()
 	}
 	if len(evidence) > 0 {
 		sendToVoters(v, kindPeerEvidence, evidence)
--- a/throttler/doc.go
+++ b/throttler/doc.go
@@ -8,4 +8,7 @@
 // a probability of its share of the remainder. The expected number of requests in a slot is
 // therefore at most the remainder, although no instance knows what the others do in the
 // same slot, and an instance with much work uses what others leave.
+//
+// An endpoint may also ask one instance for a pause. Its end is kept as a deadline by that
+// instance alone.
 package throttler
--- a/throttler/throttle.go
+++ b/throttler/throttle.go
@@ -36,6 +36,8 @@
 	// the hashes of their IDs.
 	endpoints map[uint32]*limitedEndpoint
 	remoteAt  time.Time
+	// pauses holds the end of the pause of each endpoint that asked this instance for one.
+	pauses map[endpointRun]figseam.Deadline
 }
 
 // limitedEndpoint is an endpoint that named a limit.
@@ -49,7 +51,7 @@
 
 // New returns a throttle without limits for an instance.
 func New(instance figseam.InstanceID, log zerolog.Logger) *Throttle {
-	return &Throttle{instance: string(instance), log: log, began: time.Now(), instances: 1, endpoints: map[uint32]*limitedEndpoint{}}
+	return &Throttle{instance: string(instance), log: log, began: time.Now(), instances: 1, endpoints: map[uint32]*limitedEndpoint{}, pauses: map[endpointRun]figseam.Deadline{}}
 }
 
 // SetInstances sets the number of instances that share the limits.
@@ -112,10 +114,14 @@
 	}
 }
 
-// Allows reports whether a request may be sent to an endpoint now.
+// Allows reports whether a request may be sent to an endpoint now: it has not asked for a
+// pause, and its limit is not used up.
 func (t *Throttle) Allows(e figseam.ListedEndpoint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.paused(e) {
+		return false
+	}
 	l := t.find(e)
 	if l == nil {
 		return true
@@ -200,10 +206,11 @@
 	}
 }
 
-// EvictExpired drops endpoints whose limits no longer hold.
+// EvictExpired drops endpoints whose limits no longer hold, and pauses that have ended.
 func (t *Throttle) EvictExpired() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.evictPauses()
 	now := time.Now()
 	for key, l := range t.endpoints {
 		if !l.held() && !pending(l.unnamedUntil) {
--- a/wire.go
+++ b/wire.go
@@ -116,6 +116,9 @@
 type EndpointNotice struct {
 	// Leaving reports that the endpoint is about to stop and takes no new work.
 	Leaving bool
+	// PauseMillis is the time for which the endpoint wants no requests from this instance, 0
+	// for none.
+	PauseMillis int64
 }
 
 // EndpointLoad is the load that an endpoint reports in a response.
