--- a/replicator/membership_test.go
+++ b/replicator/membership_test.go
@@ -61,6 +61,17 @@
 	g.removeInstance(name)
 }
 
+// split cuts all links between a part of the group and the rest.
+func (g *group) split(part []figseam.InstanceID) {
+	for _, a := range part {
+		for _, b := range g.voters {
+			if !slices.Contains(part, b) {
+				g.setLinkCut(a, b, true)
+			}
+		}
+	}
+}
+
 // loseDisk crashes an instance and starts it again with an empty disk, at once or after
 // some seconds.
 func (g *group) loseDisk(t require.TestingT, name figseam.InstanceID, pause bool) {
@@ -221,8 +232,8 @@
 	})
 }
 
-// TestErasedVotersDoNotSplitGroup replaces and erases voters of groups of all sizes while
-// links are cut at random, and checks that no confirmed command is lost and no two
+// TestErasedVotersDoNotSplitGroup replaces and erases voters of groups of all sizes while the
+// group is cut in two at random, and checks that no confirmed command is lost and no two
 // leaders confirm different commands.
 func TestErasedVotersDoNotSplitGroup(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -236,11 +247,12 @@
 			for i := range rapid.IntRange(1, 3).Draw(t, "replacements") {
 				g.addInstance(t, figseam.InstanceID(fmt.Sprintf("x%d", i)))
 				g.awaitSettled(t)
-				isolated := rapid.SampledFrom(g.voters).Draw(t, "isolated")
-				g.removeInstance(rapid.SampledFrom(g.voters).Draw(t, "removed"))
-				if slices.Contains(g.voters, isolated) {
-					g.setIsolated(isolated, true)
+				if rapid.Bool().Draw(t, "removes") {
+					g.removeInstance(rapid.SampledFrom(g.voters).Draw(t, "removed"))
 				}
+				g.split(rapid.SliceOfNDistinct(rapid.SampledFrom(g.voters), 1, len(g.voters)/2, rapid.ID[figseam.InstanceID]).Draw(t, "part"))
+				time.Sleep(time.Duration(rapid.IntRange(0, 3000).Draw(t, "split ms")) * time.Millisecond)
+				h.proposeToLeaders(g)
 				for range (len(names) - 1) / 2 {
 					time.Sleep(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 					h.proposeToLeaders(g)
