relayer: a stream goes back to its silent engine also when the other ones refuse it

Before: the row "the others refuse" of TestSilentStreamIsKeptWithoutOtherEngine fails ("Should be false"). After: whatever the reason is why no further engine is tried, the silent one is resumed once, within the budget of retries.

--- a/lister/leaving.go
+++ b/lister/leaving.go
@@ -82,11 +82,12 @@
 			l.leaving[run] = now
 		}
 		i := slices.IndexFunc(l.endpoints, func(e figseam.ListedEndpoint) bool { return e.ID == run.id })
+		otherRun := i >= 0 && runOf(l.endpoints[i]) != run
 		switch {
-		case i >= 0 && runOf(l.endpoints[i]) == run:
-			l.leaving[run] = now
-		case i >= 0, now.Sub(l.leaving[run]) > forgetMillis*time.Millisecond:
+		case otherRun, now.Sub(l.leaving[run]) > forgetMillis*time.Millisecond:
 			delete(l.leaving, run)
+		case i >= 0:
+			l.leaving[run] = now
 		}
 	}
 }
--- a/relayer/cached.go
+++ b/relayer/cached.go
@@ -40,7 +40,7 @@
 // can be had after all: it may be sound. The code is empty if the request has ended;
 // otherwise it is the reason of the refusal.
 func (t *task) resumeSilent(ctx context.Context, silent *placement, refusal figseam.Code) figseam.Code {
-	if silent == nil || requestEnded(refusal) || !t.tryAcquireResume(silent) {
+	if requestEnded(refusal) || t.quarantined() || !t.tryAcquireResume(silent) {
 		return refusal
 	}
 	if code := t.resume(ctx, silent); code == "" || requestEnded(code) {
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -21,35 +21,44 @@
 	}
 }
 
-// tryDecodeEngines tries one decode engine after another. The code is empty if the
-// request has ended; otherwise it is the reason why no further engine is tried.
+// tryDecodeEngines tries one decode engine after another, and in the end once more the one
+// that was given up since it sent no event in time. The code is empty if the request has ended;
+// otherwise it is the reason why no further engine is tried.
 func (t *task) tryDecodeEngines(ctx context.Context) figseam.Code {
-	code := explainer.NoAvailableEndpoint
+	silent, code := t.tryEachDecodeEngine(ctx)
+	if code == "" || silent == nil {
+		return code
+	}
+	return t.resumeSilent(ctx, silent, code)
+}
+
+// tryEachDecodeEngine tries one decode engine after another. The code is that of
+// tryDecodeEngines. silent is the last placement whose engine sent no event in time, or nil.
+func (t *task) tryEachDecodeEngine(ctx context.Context) (silent *placement, code figseam.Code) {
+	code = explainer.NoAvailableEndpoint
 	prefilling := t.cacheEngine == nil
 	// source is the prefill result that the next decode engine takes, or nil.
 	var source *prefillResult
 	defer func() { t.releaseHandle(source) }()
-	// silent is the last placement whose engine sent no event in time, or nil.
-	var silent *placement
 	for connectFailures, began := 0, time.Now(); !connectRetriesExhausted(connectFailures, began); {
 		p, refusal := t.acquirePlacement(ctx)
 		if p == nil {
-			return t.resumeSilent(ctx, silent, refusal)
+			return silent, refusal
 		}
 		if t.quarantined() {
 			t.releasePlacement(p)
-			return explainer.PromptQuarantined
+			return silent, explainer.PromptQuarantined
 		}
 		source = source.unlessExpired()
 		if prefilling {
 			if source, code = t.prefill(ctx, p); t.endsAfterPrefill(code) {
 				t.releasePlacement(p)
-				return code
+				return silent, code
 			}
 		}
 		if refusal := t.checkDecodeAllowed(); refusal != "" {
 			t.releasePlacement(p)
-			return refusal
+			return silent, refusal
 		}
 		code = t.decode(ctx, p, source)
 		if code == explainer.ConnectionLost && !t.quarantined() && t.tryAcquireResume(p) {
@@ -62,12 +71,12 @@
 		// prefills the prompt itself. The prefill result is not used again, because a
 		// missing result may be why the engine rejected the request.
 		if requestEnded(code) {
-			return code
+			return silent, code
 		}
 		switch code {
 		case "":
 			source = nil
-			return ""
+			return silent, ""
 		case explainer.EndpointLeaving, explainer.EndpointPaused:
 			// Another decode engine takes the prefill result.
 			t.releaseReservation(p)
@@ -88,10 +97,10 @@
 		}
 		prefilling, source = false, nil
 		if t.mayHaveRun && !t.route.Semantics.Retryable() {
-			return code
+			return silent, code
 		}
 	}
-	return code
+	return silent, code
 }
 
 // checkDecodeAllowed returns the reason why the request must not be sent to a decode engine;
