--- a/lister/leaving.go
+++ b/lister/leaving.go
@@ -11,25 +11,15 @@
 // forgotten. A list may lack an endpoint for a moment.
 const forgetMillis = 60_000
 
-// endpointRun identifies one run of an endpoint.
-type endpointRun struct {
-	id            string
-	startedMillis int64
-}
-
-func runOf(e figseam.ListedEndpoint) endpointRun {
-	return endpointRun{id: e.ID, startedMillis: e.StartedMillis}
-}
-
 // RecordLeaving records that an endpoint said in an answer to this instance that it leaves.
 // From now on this run of it counts as draining here, whatever the platform's list says.
 func (l *EndpointList) RecordLeaving(e figseam.ListedEndpoint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.leaving[runOf(e)]; ok {
+	if _, ok := l.leaving[e.Run()]; ok {
 		return
 	}
-	l.leaving[runOf(e)] = time.Now()
+	l.leaving[e.Run()] = time.Now()
 	l.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Msg("endpoint says that it leaves")
 	if l.byService != nil {
 		l.index()
@@ -40,7 +30,7 @@
 func (l *EndpointList) SaysItLeaves(e figseam.ListedEndpoint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, ok := l.leaving[runOf(e)]
+	_, ok := l.leaving[e.Run()]
 	return ok
 }
 
@@ -50,7 +40,7 @@
 	defer l.mu.Unlock()
 	n := 0
 	for run := range l.leaving {
-		if e, ok := l.byID[run.id]; ok && runOf(e) == run {
+		if e, ok := l.byID[run.ID]; ok && e.Run() == run {
 			n++
 		}
 	}
@@ -64,7 +54,7 @@
 	l.byAddress = map[string]figseam.ListedEndpoint{}
 	l.byID = map[string]figseam.ListedEndpoint{}
 	for _, e := range l.endpoints {
-		if _, ok := l.leaving[runOf(e)]; ok {
+		if _, ok := l.leaving[e.Run()]; ok {
 			e.Draining = true
 		}
 		l.byService[e.Service] = append(l.byService[e.Service], e)
@@ -78,11 +68,11 @@
 func (l *EndpointList) forgetEndedRuns() {
 	now := time.Now()
 	for run := range l.leaving {
-		if before, ok := l.byID[run.id]; ok && runOf(before) == run {
+		if before, ok := l.byID[run.ID]; ok && before.Run() == run {
 			l.leaving[run] = now
 		}
-		i := slices.IndexFunc(l.endpoints, func(e figseam.ListedEndpoint) bool { return e.ID == run.id })
-		otherRun := i >= 0 && runOf(l.endpoints[i]) != run
+		i := slices.IndexFunc(l.endpoints, func(e figseam.ListedEndpoint) bool { return e.ID == run.ID })
+		otherRun := i >= 0 && l.endpoints[i].Run() != run
 		switch {
 		case otherRun, now.Sub(l.leaving[run]) > forgetMillis*time.Millisecond:
 			delete(l.leaving, run)
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -76,7 +76,7 @@
 	// leaving holds the runs of endpoints that said in an answer to this instance that they
 	// leave, with the time at which they were last listed. It is not part of the list that
 	// other instances receive.
-	leaving map[endpointRun]time.Time
+	leaving map[figseam.EndpointRun]time.Time
 }
 
 // suspension holds the end of an endpoint's suspension and the endpoint's stage at the
@@ -89,7 +89,7 @@
 // New returns an empty list. maxAge returns the age of the list at which this instance
 // reads the source.
 func New(source Source, maxAge func() time.Duration, log zerolog.Logger) *EndpointList {
-	return &EndpointList{source: source, maxAge: maxAge, log: log, changed: make(chan struct{}), suspended: map[string]suspension{}, leaving: map[endpointRun]time.Time{}}
+	return &EndpointList{source: source, maxAge: maxAge, log: log, changed: make(chan struct{}), suspended: map[string]suspension{}, leaving: map[figseam.EndpointRun]time.Time{}}
 }
 
 // Run reads the source whenever the list is older than maxAge allows, until ctx ends. It
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -76,7 +76,7 @@
 type Tracker struct {
 	// mu guards everything below.
 	mu            sync.Mutex
-	states        map[endpointRun]*endpointState
+	states        map[figseam.EndpointRun]*endpointState
 	remoteUsage   map[uint32]figseam.EndpointUsage
 	remoteUsageAt time.Time
 	changed       chan struct{}
@@ -96,15 +96,9 @@
 	return d != nil && d.unreachableAt.After(d.respondedAt) && now.Sub(d.unreachableAt) < suspectMillis*time.Millisecond
 }
 
-// endpointRun identifies one run of an endpoint. A restarted endpoint gets a new state.
-type endpointRun struct {
-	id            string
-	startedMillis int64
-}
-
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{states: map[endpointRun]*endpointState{}, changed: make(chan struct{}), dataCentres: map[figseam.DataCentre]*dataCentreState{}}
+	return &Tracker{states: map[figseam.EndpointRun]*endpointState{}, changed: make(chan struct{}), dataCentres: map[figseam.DataCentre]*dataCentreState{}}
 }
 
 // Changed returns a channel that is closed when capacity may have become free.
@@ -133,7 +127,7 @@
 			continue
 		}
 		u := figseam.EndpointUsage{
-			Endpoint: figseam.HashEndpoint(run.id), Requests: s.inFlight, WorkMillis: int(s.workMillis), MemoryTokens: s.memoryTokens,
+			Endpoint: figseam.HashEndpoint(run.ID), Requests: s.inFlight, WorkMillis: int(s.workMillis), MemoryTokens: s.memoryTokens,
 		}
 		if unreachable {
 			u.UnreachableFrom = 1
@@ -182,13 +176,9 @@
 	return t.remoteUsage[figseam.HashEndpoint(id)], true
 }
 
-func runOf(e figseam.ListedEndpoint) endpointRun {
-	return endpointRun{id: e.ID, startedMillis: e.StartedMillis}
-}
-
 // state returns the state of an endpoint, which it adds if there is none.
 func (t *Tracker) state(e figseam.ListedEndpoint) *endpointState {
-	run := runOf(e)
+	run := e.Run()
 	s, ok := t.states[run]
 	if !ok {
 		s = &endpointState{}
@@ -250,7 +240,7 @@
 
 func (t *Tracker) candidate(e figseam.ListedEndpoint, now time.Time, needTokens, memoryTokens int) Candidate {
 	c := Candidate{Endpoint: e, ResponseTimeoutMillis: minResponseTimeoutMillis}
-	s, ok := t.states[runOf(e)]
+	s, ok := t.states[e.Run()]
 	if !ok {
 		s = &endpointState{}
 	}
--- a/table.go
+++ b/table.go
@@ -138,6 +138,17 @@
 	Draining      bool          `cbor:"8,keyasint,omitempty"`
 }
 
+// EndpointRun identifies one run of an endpoint, from a start to its end.
+type EndpointRun struct {
+	ID            string
+	StartedMillis int64
+}
+
+// Run returns the run of the endpoint that is listed.
+func (e ListedEndpoint) Run() EndpointRun {
+	return EndpointRun{ID: e.ID, StartedMillis: e.StartedMillis}
+}
+
 // SortEndpoints sorts endpoints by ID, the order in which lists are compared.
 func SortEndpoints(endpoints []ListedEndpoint) {
 	sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].ID < endpoints[j].ID })
--- a/throttler/pause.go
+++ b/throttler/pause.go
@@ -6,16 +6,6 @@
 // good.
 const maxPauseMillis = 600_000
 
-// endpointRun identifies one run of an endpoint.
-type endpointRun struct {
-	id            string
-	startedMillis int64
-}
-
-func runOf(e figseam.ListedEndpoint) endpointRun {
-	return endpointRun{id: e.ID, startedMillis: e.StartedMillis}
-}
-
 // RecordPause records that an endpoint wants no requests from this instance for some time. An
 // earlier answer that asked for a longer pause holds on.
 func (t *Throttle) RecordPause(e figseam.ListedEndpoint, millis int64) {
@@ -25,14 +15,14 @@
 	until := figseam.DeadlineAfterMillis(min(millis, maxPauseMillis))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.pauses[runOf(e)]
+	before := t.pauses[e.Run()]
 	if !before.IsZero() && until.Before(before) {
 		return
 	}
 	if !pending(before) {
 		t.log.Info().Str("endpoint", e.ID).Str("service", e.Service).Int64("pause_ms", millis).Msg("endpoint asks for a pause")
 	}
-	t.pauses[runOf(e)] = until
+	t.pauses[e.Run()] = until
 }
 
 // Paused reports whether an endpoint wants no requests from this instance now.
@@ -43,7 +33,7 @@
 }
 
 // paused is Paused for a caller that holds mu.
-func (t *Throttle) paused(e figseam.ListedEndpoint) bool { return pending(t.pauses[runOf(e)]) }
+func (t *Throttle) paused(e figseam.ListedEndpoint) bool { return pending(t.pauses[e.Run()]) }
 
 // PauseMillis returns the time until the first of the endpoints takes requests again, and
 // reports whether all of them pause.
@@ -55,7 +45,7 @@
 		if !t.paused(e) {
 			return 0, false
 		}
-		first = first.Min(t.pauses[runOf(e)])
+		first = first.Min(t.pauses[e.Run()])
 	}
 	return first.RemainingMillis(), len(endpoints) > 0
 }
--- a/throttler/throttle.go
+++ b/throttler/throttle.go
@@ -37,7 +37,7 @@
 	endpoints map[uint32]*limitedEndpoint
 	remoteAt  time.Time
 	// pauses holds the end of the pause of each endpoint that asked this instance for one.
-	pauses map[endpointRun]figseam.Deadline
+	pauses map[figseam.EndpointRun]figseam.Deadline
 }
 
 // limitedEndpoint is an endpoint that named a limit.
@@ -51,7 +51,7 @@
 
 // New returns a throttle without limits for an instance.
 func New(instance figseam.InstanceID, log zerolog.Logger) *Throttle {
-	return &Throttle{instance: string(instance), log: log, began: time.Now(), instances: 1, endpoints: map[uint32]*limitedEndpoint{}, pauses: map[endpointRun]figseam.Deadline{}}
+	return &Throttle{instance: string(instance), log: log, began: time.Now(), instances: 1, endpoints: map[uint32]*limitedEndpoint{}, pauses: map[figseam.EndpointRun]figseam.Deadline{}}
 }
 
 // SetInstances sets the number of instances that share the limits.
