--- a/replicator/applying.go
+++ b/replicator/applying.go
@@ -73,8 +73,10 @@
 	defer n.mu.Unlock()
 	n.appliedIndex = e.Index
 	if e.Kind == kindMembership {
-		_ = cbor.Unmarshal(e.Command, &n.appliedMembership)
-		n.appliedMembershipIndex = e.Index
+		// Decoding into appliedMembership would change memberships that share its slices.
+		var m Membership
+		_ = cbor.Unmarshal(e.Command, &m)
+		n.appliedMembership, n.appliedMembershipIndex = m, e.Index
 	}
 	p, ok := n.inFlight[e.Index]
 	if !ok {
--- a/replicator/membership_test.go
+++ b/replicator/membership_test.go
@@ -326,3 +326,30 @@
 		})
 	})
 }
+
+// TestMembershipThatWasReadDoesNotChange guards against a membership that is decoded into the
+// memory of an earlier one, which other goroutines still read.
+func TestMembershipThatWasReadDoesNotChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newDynamicGroup(1, "a", "b", "c")
+		g.startAll(t)
+		defer g.stopAll()
+		g.awaitSettled(t)
+		g.addInstance(t, "x")
+		g.awaitSettled(t)
+		for i := range 20 {
+			g.propose(t, fmt.Sprint(i))
+		}
+		restarted := g.follower().name
+		g.crash(restarted)
+		g.initialMembers[restarted] = false
+		g.start(t, restarted)
+		read := g.replicas[restarted].node.Status().Membership.Voters
+		before := slices.Clone(read)
+		require.Len(t, before, 4)
+		g.stopInstance(before[0].Instance)
+		time.Sleep(5 * time.Second)
+		require.Len(t, g.awaitLeader(t).node.Status().Membership.Voters, 3)
+		require.Equal(t, before, read)
+	})
+}
