--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -188,32 +188,35 @@
 }
 
 // TestUnchangedUsageIsNotSentAgain replays hundreds of instances with requests at thousands
-// of endpoints, of which few change between two reports: whole sums would fill the links.
+// of endpoints, of which few change between two reports: whole sums would fill the links. The
+// time is virtual, since reports expire.
 func TestUnchangedUsageIsNotSentAgain(t *testing.T) {
-	store := aggregator.New()
-	last := map[figseam.InstanceID]aggregator.Sum{}
-	report := func(i, tokens int) aggregator.Sum {
-		id := figseam.InstanceID(strconv.Itoa(i))
-		r := aggregator.Report{Instance: id, Epoch: last[id].Epoch, Revision: last[id].Revision}
-		for j := range 10 {
-			r.Load.Usage = append(r.Load.Usage, figseam.EndpointUsage{Endpoint: uint32(10*i + j), Requests: 1, MemoryTokens: 5000})
+	synctest.Test(t, func(t *testing.T) {
+		store := aggregator.New()
+		last := map[figseam.InstanceID]aggregator.Sum{}
+		report := func(i, tokens int) aggregator.Sum {
+			id := figseam.InstanceID(strconv.Itoa(i))
+			r := aggregator.Report{Instance: id, Epoch: last[id].Epoch, Revision: last[id].Revision}
+			for j := range 10 {
+				r.Load.Usage = append(r.Load.Usage, figseam.EndpointUsage{Endpoint: uint32(10*i + j), Requests: 1, MemoryTokens: 5000})
+			}
+			r.Load.Usage[0].MemoryTokens = tokens
+			last[id] = store.ExchangeReport(r)
+			return last[id]
 		}
-		r.Load.Usage[0].MemoryTokens = tokens
-		last[id] = store.ExchangeReport(r)
-		return last[id]
-	}
-	for range 2 {
-		for i := range 300 {
-			report(i, 5000)
+		for range 2 {
+			for i := range 300 {
+				report(i, 5000)
+			}
 		}
-	}
-	require.Empty(t, report(0, 5000).Usage)
-	report(7, 6000)
-	require.Equal(t, []figseam.EndpointUsage{{Endpoint: 70, Requests: 1, MemoryTokens: 6000}}, report(0, 5000).Usage)
-	encoded, err := cbor.Marshal(report(0, 5000))
-	require.NoError(t, err)
-	require.Less(t, len(encoded), 100)
-	require.Len(t, store.ExchangeReport(aggregator.Report{Instance: "new"}).Usage, 3000)
+		require.Empty(t, report(0, 5000).Usage)
+		report(7, 6000)
+		require.Equal(t, []figseam.EndpointUsage{{Endpoint: 70, Requests: 1, MemoryTokens: 6000}}, report(0, 5000).Usage)
+		encoded, err := cbor.Marshal(report(0, 5000))
+		require.NoError(t, err)
+		require.Less(t, len(encoded), 100)
+		require.Len(t, store.ExchangeReport(aggregator.Report{Instance: "new"}).Usage, 3000)
+	})
 }
 
 // noDeadlineTB hides the type *testing.T from rapid, which otherwise calls its method
