relayer, platform: client accounts with API keys

Cause: a configuration may name client accounts with API keys. Change: tables hold accounts by the digests of their keys; a request without a valid key is answered 401 before its body is read, unless its route is public. Endpoints receive the name of the account in place of the key. A request that has not run when its key is withdrawn is refused. Nothing changes for a configuration without accounts.

--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -76,6 +76,7 @@
 	InstanceStopping       figseam.Code = "instance_stopping"
 	EndpointPaused         figseam.Code = "endpoint_paused"
 	EndpointLeaving        figseam.Code = "endpoint_leaving"
+	KeyRejected            figseam.Code = "key_refused"
 )
 
 // Reason codes of rejected operator requests.
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -103,8 +103,8 @@
 	{
 		Code:        "account_limit",
 		Title:       "Account limit reached",
-		Description: "The account used up its share of requests.",
-		Action:      "Wait as Retry-After says, or give the account another class.",
+		Description: "The account used up its share of requests or tokens, counted over all instances. The request did not run.",
+		Action:      "Wait as Retry-After says, or give the account another class or a higher limit.",
 		Since:       "0.1",
 	},
 	{
@@ -443,4 +443,11 @@
 		Action:      "If frequent, add instances, or look for callers that send large bodies slowly.",
 		Since:       "0.5",
 	},
+	{
+		Code:        "key_refused",
+		Title:       "API key not accepted",
+		Description: "The request bore no API key, or one that no account of the configuration in force holds, and its route is not public. A key that was withdrawn while the request waited counts as well. The request did not run.",
+		Action:      "Compare the version in the log line with the configuration that has the key; keys are not logged.",
+		Since:       "0.6",
+	},
 }
--- /dev/null
+++ b/relayer/accounts.go
@@ -0,0 +1,55 @@
+package relayer
+
+import (
+	"net/http"
+
+	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/explainer"
+)
+
+// identify finds the account of the request by its API key. If it reports false, it has
+// refused the request: before the body is read, since nothing of the request is used.
+func (t *task) identify(table *figseam.Table) bool {
+	if !table.RequiresAccounts() {
+		return true
+	}
+	t.key = figseam.DigestKey(t.request.Credential)
+	t.account = table.Keys[t.key]
+	if t.account == nil && !t.route.Public {
+		t.refuse(http.StatusUnauthorized, explainer.KeyRejected)
+		return false
+	}
+	t.request = t.Codec.WithAccount(t.request, t.accountName())
+	return true
+}
+
+// accountName returns the name of the request's account; empty for none.
+func (t *task) accountName() figseam.Account {
+	if t.account == nil {
+		return ""
+	}
+	return t.account.Name
+}
+
+// accountPriority returns the priority of the request's account; that of the most urgent
+// accounts if there is none.
+func (t *task) accountPriority() int {
+	if t.account == nil {
+		return 0
+	}
+	return t.account.Priority
+}
+
+// keyWithdrawn reports whether the request's API key was withdrawn, or given to another
+// account, since the request was admitted. A request that may have run keeps its account.
+func (t *task) keyWithdrawn() bool {
+	if t.account == nil || t.mayHaveRun {
+		return false
+	}
+	table := t.index.Load().Table()
+	if table.Version == t.version || !table.RequiresAccounts() {
+		return false
+	}
+	holder := table.Keys[t.key]
+	return holder == nil || holder.Name != t.account.Name
+}
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -47,6 +47,10 @@
 		if !ok || (t.attempts > 0 && !t.tryAcquireRetry()) {
 			break
 		}
+		if t.keyWithdrawn() {
+			code = explainer.KeyRejected
+			break
+		}
 		e := choice.Candidate.Endpoint
 		began := time.Now()
 		var response bufferedResponse
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -45,9 +45,9 @@
 		if p == nil {
 			return silent, refusal
 		}
-		if t.quarantined() {
+		if refusal := t.checkWaited(); refusal != "" {
 			t.releasePlacement(p)
-			return silent, explainer.PromptQuarantined
+			return silent, refusal
 		}
 		source = source.unlessExpired()
 		if prefilling {
@@ -103,11 +103,23 @@
 	return silent, code
 }
 
+// checkWaited returns the reason why a request that has waited must not be sent; empty if it
+// may be.
+func (t *task) checkWaited() figseam.Code {
+	switch {
+	case t.keyWithdrawn():
+		return explainer.KeyRejected
+	case t.quarantined():
+		return explainer.PromptQuarantined
+	}
+	return ""
+}
+
 // checkDecodeAllowed returns the reason why the request must not be sent to a decode engine;
 // empty if it may be. It consumes one retry from the budget for each attempt but the first.
 func (t *task) checkDecodeAllowed() figseam.Code {
-	if t.quarantined() {
-		return explainer.PromptQuarantined
+	if refusal := t.checkWaited(); refusal != "" {
+		return refusal
 	}
 	if t.attempts > 0 && !t.tryAcquireRetry() {
 		return explainer.RetriesExhausted
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -143,7 +143,10 @@
 	control *http.ResponseController
 	request figseam.OpaqueRequest
 	// body holds the memory of the request body; nil if there is none.
-	body     *limiter.Body
+	body *limiter.Body
+	// account is the account of the API key; nil if the request needs none.
+	account  *figseam.ClientAccount
+	key      figseam.KeyDigest
 	route    *figseam.HostRoute
 	service  string
 	version  uint64
@@ -233,6 +236,10 @@
 		return false
 	}
 	t.route = route
+	if !t.identify(index.Table()) {
+		return false
+	}
+	request = t.request
 	t.service = matcher.PickService(route)
 	limit := index.Table().Limits.MaxBodyBytes
 	if limit <= 0 {
--- a/relayer/responding.go
+++ b/relayer/responding.go
@@ -30,7 +30,10 @@
 		return
 	}
 	h := t.writer.Header()
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		millis := busyRetryMillis
 		if code == explainer.NoConfig {
 			millis = unconfiguredRetryMillis
@@ -68,6 +71,8 @@
 		t.logDisconnect()
 	case explainer.DeadlineExceeded:
 		t.refuseExpired()
+	case explainer.KeyRejected:
+		t.refuse(http.StatusUnauthorized, code)
 	default:
 		t.refuseFailed(code)
 	}
@@ -159,7 +164,7 @@
 	}
 	took := time.Since(t.began)
 	t.Meter.ObserveRequest(semantics, code, status, took)
-	t.Log.WithLevel(level).Str("request", string(t.request.ID)).Str("route", name).Str("service", t.service).
+	t.Log.WithLevel(level).Str("request", string(t.request.ID)).Str("route", name).Str("service", t.service).Str("account", string(t.accountName())).
 		Str("semantics", semantics.String()).Str("code", string(code)).Int("status", status).Int64("ms", took.Milliseconds()).Int64("waited_ms", t.waitedMillis).Int("refusals", t.reservationRefusals).Int64("first_event_ms", t.firstEventMillis).
 		Uint64("version", t.version).Int64("list_age_ms", t.EndpointList.Age().Milliseconds()).Str("cached_at", t.cacheEngineID()).Int64("last_event", t.request.LastEventID).
 		Int("input_tokens", t.request.Prompt.InputTokens).Int("output_tokens", t.request.Prompt.MaxOutputTokens).
--- a/table.go
+++ b/table.go
@@ -50,8 +50,15 @@
 	Routes   []HostRoute
 	Services map[string]HostService
 	Limits   RequestLimits
+	// Accounts holds the client accounts by name. It is nil if callers need no account.
+	Accounts map[Account]*ClientAccount
+	// Keys holds the account of each API key.
+	Keys map[KeyDigest]*ClientAccount
 }
 
+// RequiresAccounts reports whether callers need an account, except on public routes.
+func (t *Table) RequiresAccounts() bool { return t.Accounts != nil }
+
 // HostRoute maps the requests of a host whose path has a prefix to services.
 type HostRoute struct {
 	Name       string
@@ -76,6 +83,8 @@
 	Priority int
 	// IsModelRoute reports whether the requests are prompts for model engines.
 	IsModelRoute bool
+	// Public reports whether requests without an API key are accepted.
+	Public bool
 }
 
 // WeightedService is a service with its weight in a route.
--- a/wire.go
+++ b/wire.go
@@ -30,6 +30,8 @@
 	Prompt   Prompt
 	// LastEventID is the ID of the last event that the caller received, or -1.
 	LastEventID int64
+	// Credential is the API key that the caller sent, or empty.
+	Credential string
 }
 
 // WithBody returns a copy with another body.
@@ -57,6 +59,8 @@
 	// the answer.
 	InputTokens     int
 	MaxOutputTokens int
+	// Sized reports whether the caller stated the two lengths.
+	Sized bool
 	// ExpectedOutputTokens is the length of the answer that the caller expects, or 0 if
 	// unspecified.
 	ExpectedOutputTokens int
@@ -139,6 +143,9 @@
 type WireCodec interface {
 	// DecodeRequest decodes a caller's request without its body.
 	DecodeRequest(r *http.Request) (OpaqueRequest, error)
+	// WithAccount returns a copy of a request that endpoints receive with the name of its
+	// account and without the API key. The name is empty for a request without an account.
+	WithAccount(r OpaqueRequest, account Account) OpaqueRequest
 	// EncodeCallHeader returns the headers of a call.
 	EncodeCallHeader(call EndpointCall) http.Header
 	// DecodeResponseHead decodes the headers of an endpoint's response.
