admitter, aggregator, relayer: quotas of client accounts over all instances

While nobody waits for the same engines, half of the deployment's tolerance may be used. Refusals are 429 with a Retry-After.

--- /dev/null
+++ b/admitter/quotas.go
@@ -0,0 +1,407 @@
+package admitter
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/figseam/figseam"
+)
+
+const (
+	// usageDecayMillis is the time constant with which recent usage decays.
+	usageDecayMillis = 1000
+	// maxSumAgeMillis is the age at which the usage of other instances expires. Until then every
+	// instance assumes that the others use nothing more.
+	maxSumAgeMillis = 250
+	// minReportedShare is the share of a second's quota below which an instance does not
+	// report its usage.
+	minReportedShare = 0.001
+	// membershipMillis is the time for which instances that no longer report still count, at
+	// least: they may be cut off and serve callers of the same accounts.
+	membershipMillis = 30_000
+	// maxCountChange is the relative change of the number of instances in a sum from which on
+	// the sum is not compared with the one before.
+	maxCountChange = 0.05
+	// retrySpreadMillis spreads the return of callers that are refused together.
+	retrySpreadMillis = 500
+	// maxDebtBursts and maxDebtRequests bound the debt to a quota that the use of the tolerance
+	// leaves, so that an account is soon served again once others wait.
+	maxDebtBursts   = 2
+	maxDebtRequests = 8
+	// usageSteps is the number of steps in which the usage of an account's quota is compared.
+	usageSteps = 4
+)
+
+// Quotas keeps the quotas of client accounts at all instances together, without an owner that
+// could fail. Every instance simulates the token bucket of each active account: it takes its
+// own requests from it at once, and those of the others as far as the sums of their recent
+// usage show them.
+//
+// Recent usage decays exponentially, so that it can be summed, and so that a lost or repeated
+// report changes a bucket by a second's usage at most. While only a part of the instances
+// reports, or none, an instance uses a corresponding part of each quota: the parts of all sides
+// of a partition add up to the quota. It is safe for concurrent use.
+//
+// Load pattern: one account sends many times its usual amount through all instances, or all
+// its callers are at few of them.
+type Quotas struct {
+	log zerolog.Logger
+	// mu guards everything below.
+	mu       sync.Mutex
+	accounts map[uint32]*accountBucket
+	// limited holds the accounts of the table in force that have a quota.
+	limited map[uint32]*figseam.ClientAccount
+	// lastCount is the number of instances in the last sum, with this one, and sumAt its time.
+	lastCount int
+	sumAt     time.Time
+	members   memberCount
+	// startCount is the number of instances that is assumed before the first sum.
+	startCount int
+	tolerance  Tolerance
+}
+
+// Tolerance is what the quotas of a deployment may be exceeded by within a window: a share of
+// what a quota allows in it, and an amount in the quota's unit. An account may use a part of it
+// while nobody waits for the same engines.
+type Tolerance struct {
+	WindowSeconds float64
+	Share         float64
+	Amount        float64
+}
+
+// usableTolerance is the part of the tolerance that accounts may use. The rest covers requests
+// that other instances admit before this one learns of them.
+const usableTolerance = 0.5
+
+// perSecond returns the rate that a quota may reach with the usable part of the tolerance. With
+// the quota's burst, it allows no more in a window than the tolerance does.
+func (o Tolerance) perSecond(q figseam.AccountQuota) float64 {
+	if o.WindowSeconds <= 0 {
+		return q.PerSecond
+	}
+	excess := o.Share*(q.PerSecond*o.WindowSeconds+q.Burst) + o.Amount
+	return q.PerSecond + usableTolerance*excess/o.WindowSeconds
+}
+
+// accountBucket is the simulated bucket of an account.
+type accountBucket struct {
+	name  figseam.Account
+	quota figseam.AccountQuota
+	// strict is what is left of the quota, tolerated what is left with the tolerance, which
+	// grows by toleratedPerSecond.
+	strict             float64
+	tolerated          float64
+	toleratedPerSecond float64
+	// refilledAt is the time up to which both have grown.
+	refilledAt  time.Time
+	largestCost float64
+	own         decayingSum
+	remote      decayingSum
+	// ownAtSum and remoteAtSum are the values at the time of the last sum.
+	ownAtSum, remoteAtSum float64
+	// refused reports whether the last request was refused, so that each change is logged once.
+	refused bool
+}
+
+// take takes an amount, which is negative if it is given back.
+func (b *accountBucket) take(amount float64) {
+	lowest := -max(maxDebtBursts*b.quota.Burst, maxDebtRequests*b.largestCost)
+	b.strict = max(b.strict-amount, min(b.strict, lowest))
+	b.tolerated -= amount
+}
+
+// refill lets both levels grow by a part of the quota. A request larger than the burst waits
+// until the bucket has grown to its size.
+func (b *accountBucket) refill(part float64, now time.Time) {
+	limit := max(b.quota.Burst*part, b.largestCost)
+	seconds := part * now.Sub(b.refilledAt).Seconds()
+	b.strict = min(b.strict+b.quota.PerSecond*seconds, limit)
+	b.tolerated = min(b.tolerated+b.toleratedPerSecond*seconds, limit)
+	b.refilledAt = now
+}
+
+// retryMillis returns the time until a request with a cost would be admitted without others.
+func (b *accountBucket) retryMillis(cost, part float64) float64 {
+	return max(0, cost-b.tolerated) / (b.toleratedPerSecond * part) * 1000
+}
+
+// decayingSum is an amount that decays with usageDecayMillis.
+type decayingSum struct {
+	value float64
+	at    time.Time
+}
+
+func (d decayingSum) valueAt(now time.Time) float64 {
+	return d.value * math.Exp(-float64(now.Sub(d.at).Milliseconds())/usageDecayMillis)
+}
+
+// plus returns the sum with an amount added.
+func (d decayingSum) plus(amount float64, now time.Time) decayingSum {
+	return decayingSum{value: d.valueAt(now) + amount, at: now}
+}
+
+// NewQuotas returns quotas that are used up at first: what this instance took before a restart
+// is not known.
+func NewQuotas(tolerance Tolerance, log zerolog.Logger) *Quotas {
+	return &Quotas{log: log, accounts: map[uint32]*accountBucket{}, tolerance: tolerance, startCount: 1}
+}
+
+// Claim is what a request took from the quota of its account.
+type Claim struct {
+	account uint32
+	cost    float64
+}
+
+// Take takes the cost of a request from the quota of its account. If that is used up, it
+// returns the time in milliseconds after which the caller may retry, and false. contended
+// reports whether others wait for the engines that the request needs: the quota is kept
+// strictly then.
+func (q *Quotas) Take(account *figseam.ClientAccount, cost float64, contended bool) (c Claim, retryMillis float64, ok bool) {
+	if account.Quota == nil || cost <= 0 {
+		return Claim{}, 0, true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	key := figseam.HashAccount(account.Name)
+	b := q.bucket(key, now)
+	if b == nil {
+		return Claim{}, 0, true
+	}
+	part := q.part(b, now)
+	if b.largestCost == 0 && q.sumAt.IsZero() {
+		// Instances that have just started and know nothing of each other would all admit
+		// their first request at the same time.
+		b.take(rand.Float64() * cost)
+	}
+	b.largestCost = max(b.largestCost, cost)
+	b.refill(part, now)
+	if b.strict < cost && (contended || b.tolerated < cost) {
+		q.logRefusal(b, part)
+		return Claim{}, b.retryMillis(cost, part) + rand.Float64()*retrySpreadMillis, false
+	}
+	b.refused = false
+	b.take(cost)
+	b.own = b.own.plus(cost, now)
+	return Claim{account: key, cost: cost}, 0, true
+}
+
+// logRefusal logs the first refusal of an account after a request that was admitted.
+func (q *Quotas) logRefusal(b *accountBucket, part float64) {
+	if b.refused {
+		return
+	}
+	b.refused = true
+	q.log.Info().Str("account", string(b.name)).Float64("per_second", b.quota.PerSecond).Float64("part", part).Msg("account has used its quota")
+}
+
+// Return gives back what a request took that did not run.
+func (q *Quotas) Return(c Claim) {
+	if c.cost <= 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b, ok := q.accounts[c.account]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	b.refill(q.part(b, now), now)
+	b.take(-c.cost)
+	b.own = b.own.plus(-c.cost, now)
+}
+
+// UsageStep returns how far an account has recently used its quota, in steps from 0 to 4: of
+// two accounts that wait for the same engines, the one with the lower step goes first. It is 0
+// for an account without a quota.
+func (q *Quotas) UsageStep(account *figseam.ClientAccount) int {
+	if account == nil || account.Quota == nil {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b, ok := q.accounts[figseam.HashAccount(account.Name)]
+	if !ok {
+		return 0
+	}
+	now := time.Now()
+	used := (b.own.valueAt(now) + b.remote.valueAt(now)) / (account.Quota.PerSecond * usageDecayMillis / 1000)
+	return min(usageSteps, int(used*usageSteps))
+}
+
+// SetAccounts replaces the accounts by those of a table.
+func (q *Quotas) SetAccounts(accounts map[figseam.Account]*figseam.ClientAccount) {
+	limited := map[uint32]*figseam.ClientAccount{}
+	for name, account := range accounts {
+		if account.Quota != nil {
+			limited[figseam.HashAccount(name)] = account
+		}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.limited = limited
+	for key, b := range q.accounts {
+		account := limited[key]
+		if account == nil {
+			delete(q.accounts, key)
+			continue
+		}
+		b.quota, b.toleratedPerSecond = *account.Quota, q.tolerance.perSecond(*account.Quota)
+	}
+}
+
+// bucket returns the bucket of an account of the table in force, or nil if the account has no
+// quota there. The caller holds mu.
+func (q *Quotas) bucket(key uint32, now time.Time) *accountBucket {
+	if b, ok := q.accounts[key]; ok {
+		return b
+	}
+	account := q.limited[key]
+	if account == nil {
+		return nil
+	}
+	b := &accountBucket{
+		name: account.Name, quota: *account.Quota, toleratedPerSecond: q.tolerance.perSecond(*account.Quota),
+		refilledAt: now, own: decayingSum{at: now}, remote: decayingSum{at: now},
+	}
+	if !q.sumAt.IsZero() {
+		b.fill(0)
+	}
+	q.accounts[key] = b
+	return b
+}
+
+// fill lets the levels rise to what an account whose others recently used an amount probably
+// has left.
+func (b *accountBucket) fill(remote float64) {
+	level := b.quota.Burst * max(0, 1-remote/(b.quota.PerSecond*usageDecayMillis/1000))
+	b.strict, b.tolerated = max(b.strict, level), max(b.tolerated, level)
+}
+
+// part returns the part of an account's quota that the instances in the last sum may use, or
+// this instance alone if there is no recent sum. The caller holds mu.
+func (q *Quotas) part(b *accountBucket, now time.Time) float64 {
+	known := max(q.members.highest(now), 1)
+	if q.sumAt.IsZero() {
+		return 1 / float64(q.startCount)
+	}
+	if now.Sub(q.sumAt) <= maxSumAgeMillis*time.Millisecond {
+		return min(1, float64(q.lastCount)/float64(known))
+	}
+	// The instance keeps the part that it used when it lost contact, and an equal part of
+	// what nobody used.
+	own, remote := b.ownAtSum, b.remoteAtSum
+	perSecond := b.quota.PerSecond * usageDecayMillis / 1000
+	if own+remote >= perSecond {
+		return max(own, 0) / (own + remote)
+	}
+	return (max(own, 0) + (perSecond-own-remote)/float64(known)) / perSecond
+}
+
+// LocalUsage returns what this instance recently took from quotas.
+func (q *Quotas) LocalUsage() []figseam.AccountUsage {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	var usage []figseam.AccountUsage
+	for key, b := range q.accounts {
+		if own := b.own.valueAt(now); math.Abs(own) > minReportedShare*b.quota.PerSecond {
+			usage = append(usage, figseam.AccountUsage{Account: key, RecentMillis: int64(own * 1000)})
+		}
+	}
+	return usage
+}
+
+// SetRemoteUsage replaces the summed usage of all other instances. instances is the number of
+// instances in the sum.
+func (q *Quotas) SetRemoteUsage(usage []figseam.AccountUsage, instances int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	count, first := instances+1, q.sumAt.IsZero()
+	comparable := now.Sub(q.sumAt) <= maxSumAgeMillis*time.Millisecond && math.Abs(float64(count-q.lastCount)) <= maxCountChange*float64(count)
+	sums := make(map[uint32]float64, len(usage))
+	for _, u := range usage {
+		sums[u.Account] = float64(u.RecentMillis) / 1000
+		q.bucket(u.Account, now)
+	}
+	for key, b := range q.accounts {
+		b.refill(q.part(b, now), now)
+		if first {
+			b.fill(sums[key])
+		}
+		if comparable {
+			b.take(sums[key] - b.remote.valueAt(now))
+		}
+		b.remote = decayingSum{value: sums[key], at: now}
+		b.ownAtSum, b.remoteAtSum = b.own.valueAt(now), sums[key]
+	}
+	q.lastCount, q.sumAt = count, now
+	q.members.record(count, now)
+}
+
+// SetInstances sets the number of instances that is assumed before the first sum.
+func (q *Quotas) SetInstances(n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.startCount = max(1, n)
+}
+
+// EvictIdle drops the buckets of accounts that have not been used lately and are full.
+func (q *Quotas) EvictIdle() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for key, b := range q.accounts {
+		b.refill(q.part(b, now), now)
+		negligible := minReportedShare * b.quota.PerSecond
+		if math.Abs(b.own.valueAt(now)) <= negligible && b.remote.valueAt(now) <= negligible && b.strict >= b.quota.Burst {
+			delete(q.accounts, key)
+		}
+	}
+}
+
+// Exhausted returns the number of accounts whose last request was refused.
+func (q *Quotas) Exhausted() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, b := range q.accounts {
+		if b.refused {
+			n++
+		}
+	}
+	return n
+}
+
+// memberCount remembers the highest number of instances for one to two times
+// membershipMillis.
+type memberCount struct {
+	current, previous int
+	rotateAt          time.Time
+}
+
+func (m *memberCount) record(n int, now time.Time) {
+	m.rotate(now)
+	m.current = max(m.current, n)
+}
+
+func (m *memberCount) highest(now time.Time) int {
+	m.rotate(now)
+	return max(m.current, m.previous)
+}
+
+func (m *memberCount) rotate(now time.Time) {
+	if now.Before(m.rotateAt) {
+		return
+	}
+	if !m.rotateAt.IsZero() {
+		m.previous, m.current = m.current, 0
+	}
+	m.rotateAt = now.Add(membershipMillis * time.Millisecond)
+}
--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -26,10 +26,16 @@
 type Load struct {
 	Usage  []figseam.EndpointUsage `cbor:"1,keyasint,omitempty"`
 	Demand []figseam.ServiceDemand `cbor:"2,keyasint,omitempty"`
+	// Accounts is the usage of account quotas, and Instances the number of instances whose
+	// load it is. Versions before 0.6 set neither.
+	Accounts  []figseam.AccountUsage `cbor:"17,keyasint,omitempty"`
+	Instances int                    `cbor:"18,keyasint,omitempty"`
 }
 
-// Empty reports whether there is neither usage nor demand.
-func (l Load) Empty() bool { return len(l.Usage) == 0 && len(l.Demand) == 0 }
+// Empty reports whether it is the load of no instance.
+func (l Load) Empty() bool {
+	return len(l.Usage) == 0 && len(l.Demand) == 0 && len(l.Accounts) == 0 && l.Instances == 0
+}
 
 // Report is the load of one instance, or the sum of the instances that report to one
 // voter.
@@ -101,6 +107,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.dropExpired(now)
+	r.Load.Instances = 1
 	difference := subtract(r.Load, s.instances[r.Instance].load)
 	s.instances[r.Instance] = receivedReport{load: r.Load, receivedAt: now}
 	s.local.addTotal(difference)
@@ -114,6 +121,13 @@
 	sum := Sum{Epoch: s.changes.epoch, Revision: s.changes.revision}
 	own := newTotal()
 	own.add(r.Load)
+	sum.Instances = s.all.instances - own.instances
+	for key, u := range s.all.accounts {
+		if rest := u.Add(own.accounts[key].Negate()); rest.RecentMillis != 0 {
+			rest.Account = key
+			sum.Accounts = append(sum.Accounts, rest)
+		}
+	}
 	for key, d := range s.all.demand {
 		if rest := d.Add(own.demand[key].Negate()); rest != (figseam.ServiceDemand{Service: key}) {
 			sum.Demand = append(sum.Demand, rest)
@@ -216,14 +230,17 @@
 	}
 }
 
-// Total is a sum of loads, keyed by the hashes of endpoint IDs and service names.
+// Total is a sum of loads, keyed by the hashes of endpoint IDs, service names and account
+// names.
 type Total struct {
-	usage  map[uint32]figseam.EndpointUsage
-	demand map[uint32]figseam.ServiceDemand
+	usage     map[uint32]figseam.EndpointUsage
+	demand    map[uint32]figseam.ServiceDemand
+	accounts  map[uint32]figseam.AccountUsage
+	instances int
 }
 
 func newTotal() *Total {
-	return &Total{usage: map[uint32]figseam.EndpointUsage{}, demand: map[uint32]figseam.ServiceDemand{}}
+	return &Total{usage: map[uint32]figseam.EndpointUsage{}, demand: map[uint32]figseam.ServiceDemand{}, accounts: map[uint32]figseam.AccountUsage{}}
 }
 
 // EndpointUsage returns the usage of the endpoint with an ID.
@@ -251,6 +268,10 @@
 	for _, d := range l.Demand {
 		accumulate(t.demand, d.Service, d, figseam.ServiceDemand{Service: d.Service})
 	}
+	for _, u := range l.Accounts {
+		accumulate(t.accounts, u.Account, u, figseam.AccountUsage{Account: u.Account})
+	}
+	t.instances += l.Instances
 }
 
 // subtract removes a load that was added before.
@@ -261,6 +282,10 @@
 	for _, d := range l.Demand {
 		accumulate(t.demand, d.Service, d.Negate(), figseam.ServiceDemand{Service: d.Service})
 	}
+	for _, u := range l.Accounts {
+		accumulate(t.accounts, u.Account, u.Negate(), figseam.AccountUsage{Account: u.Account})
+	}
+	t.instances -= l.Instances
 }
 
 func (t *Total) addTotal(other *Total) { t.add(other.load()) }
@@ -282,11 +307,11 @@
 }
 
 func (t *Total) clone() *Total {
-	return &Total{usage: maps.Clone(t.usage), demand: maps.Clone(t.demand)}
+	return &Total{usage: maps.Clone(t.usage), demand: maps.Clone(t.demand), accounts: maps.Clone(t.accounts), instances: t.instances}
 }
 
 func (t *Total) load() Load {
-	var l Load
+	l := Load{Instances: t.instances}
 	if len(t.usage) > 0 {
 		l.Usage = make([]figseam.EndpointUsage, 0, len(t.usage))
 	}
@@ -296,5 +321,8 @@
 	for _, d := range t.demand {
 		l.Demand = append(l.Demand, d)
 	}
+	for _, u := range t.accounts {
+		l.Accounts = append(l.Accounts, u)
+	}
 	return l
 }
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -54,6 +54,12 @@
 	RetryRatio         float64 `json:"retry_share"`
 	RetryAllowance     float64 `json:"retry_allowance"`
 	RetryWindowSeconds float64 `json:"retry_window_s"`
+	// QuotaTolerance, QuotaAllowance and QuotaWindowSeconds state by how much the quotas of
+	// accounts may be exceeded: per window, by QuotaTolerance of what the quota allows plus
+	// QuotaAllowance in the quota's unit. Quotas are kept strictly if they are 0.
+	QuotaTolerance     float64 `json:"quota_tolerance,omitempty"`
+	QuotaAllowance     float64 `json:"quota_allowance,omitempty"`
+	QuotaWindowSeconds float64 `json:"quota_window_s,omitempty"`
 }
 
 // LoadRelay reads the settings file of an entry or a voter. It returns an error if the
@@ -125,6 +131,15 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		v.addFault("retry_share", checker.CodeOutOfRange, "expected 0 to 1, found %g", s.RetryRatio)
 	}
+	if s.QuotaTolerance < 0 || s.QuotaTolerance > 1 {
+		v.addFault("quota_tolerance", checker.CodeOutOfRange, "expected 0 to 1, found %g", s.QuotaTolerance)
+	}
+	if s.QuotaAllowance < 0 {
+		v.addFault("quota_allowance", checker.CodeOutOfRange, "expected 0 or more, found %g", s.QuotaAllowance)
+	}
+	if s.QuotaWindowSeconds < 0 {
+		v.addFault("quota_window_s", checker.CodeOutOfRange, "expected 0 or more, found %g", s.QuotaWindowSeconds)
+	}
 	if s.RetryAllowance < 0 {
 		v.addFault("retry_allowance", checker.CodeOutOfRange, "expected 0 or more, found %g", s.RetryAllowance)
 	}
--- a/relayer/accounts.go
+++ b/relayer/accounts.go
@@ -23,6 +23,40 @@
 	return true
 }
 
+// takeQuota takes the request from the quota of its account. If it reports false, it has
+// refused the request.
+func (t *task) takeQuota() bool {
+	if t.account == nil || t.account.Quota == nil {
+		return true
+	}
+	claim, retryMillis, ok := t.Quotas.Take(t.account, t.account.Quota.Cost(t.request.Prompt), t.contended())
+	if !ok {
+		t.retryAfterMillis = retryMillis
+		t.refuse(http.StatusTooManyRequests, explainer.AccountLimitExceeded)
+		return false
+	}
+	t.claim = claim
+	return true
+}
+
+// contended reports whether requests wait for the engines of the request's service, here or at
+// other instances.
+func (t *task) contended() bool {
+	if !t.route.IsModelRoute {
+		return false
+	}
+	_, onTime := t.queues.forService(t.service).QueuedTokens()
+	return onTime+t.remoteDemand.forService(t.service).OnTimeTokens > 0
+}
+
+// returnUnused returns what the request took from the quota of its account, unless it may have
+// run.
+func (t *task) returnUnused() {
+	if !t.mayHaveRun {
+		t.Quotas.Return(t.claim)
+	}
+}
+
 // accountName returns the name of the request's account; empty for none.
 func (t *task) accountName() figseam.Account {
 	if t.account == nil {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/admitter"
 	"github.com/figseam/figseam/budgeter"
 	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/explainer"
@@ -52,7 +53,9 @@
 	// Quarantine decides which prompts are refused; nil for one of the relayer's own.
 	Quarantine *quarantiner.Quarantine
 	// Throttle keeps the limits that endpoints name; nil for one of the relayer's own.
-	Throttle   *throttler.Throttle
+	Throttle *throttler.Throttle
+	// Quotas keeps the quotas of client accounts; nil for some of the relayer's own.
+	Quotas     *admitter.Quotas
 	DataCentre figseam.DataCentre
 	Meter      Meter
 	Log        zerolog.Logger
@@ -98,6 +101,9 @@
 	if settings.Throttle == nil {
 		settings.Throttle = throttler.New("", settings.Log)
 	}
+	if settings.Quotas == nil {
+		settings.Quotas = admitter.NewQuotas(admitter.Tolerance{}, settings.Log)
+	}
 	r := &Relayer{
 		Settings: settings, tableSet: make(chan struct{}),
 		queues:        decodeQueues{changed: settings.Tracker.Changed, byService: map[string]*queuer.Queue{}, offered: map[string]offeredLoad{}},
@@ -118,6 +124,7 @@
 		if !r.index.CompareAndSwap(old, matcher.New(t)) {
 			continue
 		}
+		r.Quotas.SetAccounts(t.Accounts)
 		if old == nil {
 			close(r.tableSet)
 		}
@@ -147,6 +154,7 @@
 	// account is the account of the API key; nil if the request needs none.
 	account  *figseam.ClientAccount
 	key      figseam.KeyDigest
+	claim    admitter.Claim
 	route    *figseam.HostRoute
 	service  string
 	version  uint64
@@ -191,6 +199,7 @@
 	t := &task{
 		Relayer: r, writer: w, control: http.NewResponseController(w), began: time.Now(), excluded: map[string]bool{},
 	}
+	defer func() { t.returnUnused() }()
 	if !t.admit(q) {
 		return
 	}
@@ -236,11 +245,11 @@
 		return false
 	}
 	t.route = route
-	if !t.identify(index.Table()) {
+	t.service = matcher.PickService(route)
+	if !t.identify(index.Table()) || !t.takeQuota() {
 		return false
 	}
 	request = t.request
-	t.service = matcher.PickService(route)
 	limit := index.Table().Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/admitter"
 	"github.com/figseam/figseam/aggregator"
 	"github.com/figseam/figseam/budgeter"
 	"github.com/figseam/figseam/connector"
@@ -57,6 +58,7 @@
 	tracker    *selector.Tracker
 	quarantine *quarantiner.Quarantine
 	throttle   *throttler.Throttle
+	quotas     *admitter.Quotas
 	// evidence exchanges evidence with a voter. It is used by exchangeLoad only.
 	evidence *quarantiner.Session
 	// lastSum is the state of the sums that this entry received last. It is used by
@@ -78,8 +80,11 @@
 	e.quarantine = quarantiner.New(e.log)
 	e.evidence = quarantiner.NewSession(e.quarantine)
 	e.throttle = throttler.New(settings.PeerID(), e.log)
+	e.quotas = admitter.NewQuotas(admitter.Tolerance{
+		WindowSeconds: settings.QuotaWindowSeconds, Share: settings.QuotaTolerance, Amount: settings.QuotaAllowance,
+	}, e.log)
 	e.relayer = relayer.New(relayer.Settings{
-		Codec: platform.WireCodec{}, Connector: e.connector, EndpointList: e.list, Tracker: e.tracker, Budget: e.budget, Quarantine: e.quarantine, Throttle: e.throttle,
+		Codec: platform.WireCodec{}, Connector: e.connector, EndpointList: e.list, Tracker: e.tracker, Budget: e.budget, Quarantine: e.quarantine, Throttle: e.throttle, Quotas: e.quotas,
 		DataCentre: settings.DataCentre, Meter: e.meter, Log: e.log,
 	})
 	e.ReloadSettings(settings)
@@ -91,6 +96,7 @@
 	e.meter.RegisterGauge("figseam_quarantined_parts", "Prompt parts that are quarantined because engines crash on them.", func() float64 { return float64(e.quarantine.Len()) })
 	e.meter.RegisterGauge("figseam_limited_endpoints", "Endpoints that name a limit on the requests that they take.", func() float64 { return float64(e.throttle.Len()) })
 	e.meter.RegisterGauge("figseam_paused_endpoints", "Endpoints that asked this instance for a pause.", func() float64 { return float64(e.throttle.PausedCount()) })
+	e.meter.RegisterGauge("figseam_exhausted_accounts", "Client accounts whose last request at this instance was refused since their quota is used up.", func() float64 { return float64(e.quotas.Exhausted()) })
 	e.meter.RegisterGauge("figseam_leaving_endpoints", "Listed endpoints that said that they leave.", func() float64 { return float64(e.list.LeavingCount()) })
 	return e
 }
@@ -115,6 +121,7 @@
 	e.list.Merge(r.List)
 	e.budget.SetInstances(r.SubscriberCount)
 	e.throttle.SetInstances(r.SubscriberCount)
+	e.quotas.SetInstances(r.SubscriberCount)
 	if r.Document.Version <= e.relayer.TableVersion() {
 		return
 	}
@@ -215,6 +222,7 @@
 	e.tracker.EvictIdle()
 	e.quarantine.EvictExpired()
 	e.throttle.EvictExpired()
+	e.quotas.EvictIdle()
 }
 
 // exchangeLoad reports the load of this entry to a voter. The voter returns the sum of the
@@ -228,7 +236,7 @@
 	defer cancel()
 	report := exchangeReport{
 		Report: aggregator.Report{
-			Instance: e.settings.PeerID(), Load: aggregator.Load{Usage: slices.Concat(e.tracker.LocalUsage(), e.throttle.LocalUsage()), Demand: e.relayer.LocalDemand()},
+			Instance: e.settings.PeerID(), Load: aggregator.Load{Usage: slices.Concat(e.tracker.LocalUsage(), e.throttle.LocalUsage()), Demand: e.relayer.LocalDemand(), Accounts: e.quotas.LocalUsage()},
 			Epoch: e.lastSum.epoch, Revision: e.lastSum.revision,
 		},
 		Evidence: e.evidence.Request(),
@@ -240,6 +248,7 @@
 	}
 	e.evidence.Complete(remote.Evidence)
 	e.relayer.SetRemoteDemand(remote.Demand)
+	e.quotas.SetRemoteUsage(remote.Accounts, remote.Instances)
 	if remote.ChangesOnly {
 		e.tracker.MergeRemoteUsage(remote.Usage)
 		e.throttle.MergeRemoteUsage(remote.Usage)
