limiter, runner: connections and unfinished requests share bounds

Change: each server bounds its connections, and the memory that heads of unfinished requests hold together; bodies of operators share a budget. When a bound is reached, what holds most for longest without being complete is given up: a connection without a complete request, or a body that is still being read. Complete requests are never cut off for it.

--- /dev/null
+++ b/limiter/connections_test.go
@@ -0,0 +1,163 @@
+package limiter_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"github.com/figseam/figseam/limiter"
+)
+
+// boundedServer serves requests on bounded connections. A request whose path is /wait is
+// answered once release is closed.
+type boundedServer struct {
+	*httptest.Server
+	connections *limiter.Connections
+	release     chan struct{}
+}
+
+func newBoundedServer(t *testing.T, maxCount int, maxBytes int64) *boundedServer {
+	s := &boundedServer{connections: limiter.NewConnections("test", maxCount, maxBytes, zerolog.Nop()), release: make(chan struct{})}
+	s.Server = httptest.NewUnstartedServer(s.connections.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-s.release
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})))
+	s.Listener = s.connections.Listener(s.Listener)
+	s.Config.ConnContext = s.connections.Context
+	s.Start()
+	t.Cleanup(s.Close)
+	return s
+}
+
+// connect opens a connection and sends a text.
+func (s *boundedServer) connect(t *testing.T, text string) net.Conn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	return c
+}
+
+// requireStatus requires that a connection receives a response.
+func requireStatus(t *testing.T, c net.Conn, status int) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	require.Equal(t, status, response.StatusCode)
+}
+
+// requireClosed requires that the server has closed a connection without a response.
+func requireClosed(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := bufio.NewReader(c).ReadByte()
+	require.Error(t, err)
+}
+
+const plainRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// TestQuietestConnectionMakesPlace guards against clients that connect and send nothing: they
+// keep no place from others. A connection whose request is being served keeps its place.
+func TestQuietestConnectionMakesPlace(t *testing.T) {
+	s := newBoundedServer(t, 3, 1<<20)
+	served := s.connect(t, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.Eventually(t, func() bool { return s.connections.Len() == 1 }, time.Minute, time.Millisecond)
+	silent := s.connect(t, "")
+	require.Eventually(t, func() bool { return s.connections.Len() == 2 }, time.Minute, time.Millisecond)
+	used := s.connect(t, plainRequest)
+	requireStatus(t, used, http.StatusNoContent)
+	requireStatus(t, s.connect(t, plainRequest), http.StatusNoContent)
+	requireClosed(t, silent)
+	require.EqualValues(t, 1, s.connections.Evicted())
+	close(s.release)
+	requireStatus(t, served, http.StatusNoContent)
+}
+
+// TestHeaviestHeadIsClosed guards against heads of very many short fields that stop half-way:
+// when they hold too much memory, the heaviest is closed, and small ones are served.
+func TestHeaviestHeadIsClosed(t *testing.T) {
+	const head = "GET / HTTP/1.1\r\nHost: a\r\n"
+	s := newBoundedServer(t, 100, 1<<20)
+	small := s.connect(t, head)
+	light := s.connect(t, head+strings.Repeat("x:\r\n", 500))
+	heavy := s.connect(t, head+strings.Repeat("x:\r\n", 1500))
+	requireStatus(t, s.connect(t, head+strings.Repeat("y:\r\n", 600)+"\r\n"), http.StatusNoContent)
+	requireClosed(t, heavy)
+	for _, c := range []net.Conn{small, light} {
+		_, err := io.WriteString(c, "\r\n")
+		require.NoError(t, err)
+		requireStatus(t, c, http.StatusNoContent)
+	}
+}
+
+// TestSingleLargeHeadIsServed guards against a bound that refuses a request within the limits
+// although nothing else is held.
+func TestSingleLargeHeadIsServed(t *testing.T) {
+	s := newBoundedServer(t, 100, 4<<20)
+	requireStatus(t, s.connect(t, "GET / HTTP/1.1\r\nHost: a\r\n"+strings.Repeat("x:\r\n", 4000)+"\r\n"), http.StatusNoContent)
+	require.Zero(t, s.connections.Evicted())
+}
+
+// stalledBody is a body that stops short of its end until it is aborted.
+type stalledBody struct {
+	rest    int
+	aborted chan struct{}
+}
+
+var errAborted = errors.New("aborted")
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if b.rest > 0 {
+		n := min(b.rest, len(p))
+		b.rest -= n
+		return n, nil
+	}
+	<-b.aborted
+	return 0, errAborted
+}
+
+// TestHeaviestBodyIsGivenUp guards against bodies that stop just short of their end and keep
+// the memory of others: the one that holds most for longest is given up, and only it.
+func TestHeaviestBodyIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := limiter.NewBudget(400_000)
+		results := make([]chan error, 3)
+		sources := make([]*stalledBody, 3)
+		for i, size := range []int{120_000, 200_000, 60_000} {
+			source := &stalledBody{rest: size, aborted: make(chan struct{})}
+			sources[i] = source
+			results[i] = make(chan error, 1)
+			go func() {
+				_, err := budget.ReadAbortableBody(source, 1<<20, func() { close(source.aborted) })
+				results[i] <- err
+			}()
+			time.Sleep(time.Second)
+		}
+		whole, err := budget.ReadAbortableBody(strings.NewReader(strings.Repeat("x", 200_000)), 1<<20, func() {})
+		require.NoError(t, err)
+		require.ErrorIs(t, <-results[1], limiter.ErrBudgetExhausted)
+		require.Empty(t, results[0])
+		require.Empty(t, results[2])
+		require.EqualValues(t, 1, budget.Evicted())
+		require.Equal(t, 200_000, whole.Len())
+		// A body that needs more than what can be freed is refused; complete ones stay.
+		_, err = budget.ReadAbortableBody(strings.NewReader(strings.Repeat("x", 390_000)), 1<<20, func() {})
+		require.ErrorIs(t, err, limiter.ErrBudgetExhausted)
+		require.Equal(t, 200_000, whole.Len())
+		require.ErrorIs(t, <-results[0], limiter.ErrBudgetExhausted)
+		close(sources[2].aborted)
+		require.ErrorIs(t, <-results[2], errAborted)
+	})
+}
--- a/loader/relay.go
+++ b/loader/relay.go
@@ -40,6 +40,9 @@
 	LogLevel    string `json:"log_level,omitempty"`
 	// MemoryLimitMegabytes is the memory limit of the process.
 	MemoryLimitMegabytes float64 `json:"memory_mb"`
+	// MaxDescriptors is the limit on the descriptors of the process; 0 for the one that the
+	// operating system states.
+	MaxDescriptors int `json:"max_descriptors,omitempty"`
 	// GracePeriodSeconds is the time between the termination signal and the forced end of
 	// the process.
 	GracePeriodSeconds float64 `json:"grace_s"`
@@ -131,6 +134,9 @@
 	if s.RetryRatio < 0 || s.RetryRatio > 1 {
 		v.addFault("retry_share", checker.CodeOutOfRange, "expected 0 to 1, found %g", s.RetryRatio)
 	}
+	if s.MaxDescriptors < 0 {
+		v.addFault("max_descriptors", checker.CodeOutOfRange, "expected 0 or more, found %d", s.MaxDescriptors)
+	}
 	if s.QuotaTolerance < 0 || s.QuotaTolerance > 1 {
 		v.addFault("quota_tolerance", checker.CodeOutOfRange, "expected 0 to 1, found %g", s.QuotaTolerance)
 	}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -30,8 +30,11 @@
 	bodyReadTimeoutMillis = 5000
 	// defaultBodyBytes bounds a request body if the table sets no limit.
 	defaultBodyBytes = 4 << 20
-	// maxRequestBodiesBytes bounds the memory of all request bodies.
-	maxRequestBodiesBytes = 12 << 20
+	// defaultBodyMemoryBytes bounds the memory of all request bodies unless the settings do.
+	defaultBodyMemoryBytes = 12 << 20
+	// refusalTimeoutMillis bounds the time for which a caller may take to read a refusal that
+	// is sent before the request's deadline is known.
+	refusalTimeoutMillis = 10_000
 	// startupWaitMillis is the longest time that a request waits for the instance's
 	// first table and first endpoint list.
 	startupWaitMillis = 800
@@ -55,10 +58,12 @@
 	// Throttle keeps the limits that endpoints name; nil for one of the relayer's own.
 	Throttle *throttler.Throttle
 	// Quotas keeps the quotas of client accounts; nil for some of the relayer's own.
-	Quotas     *admitter.Quotas
-	DataCentre figseam.DataCentre
-	Meter      Meter
-	Log        zerolog.Logger
+	Quotas *admitter.Quotas
+	// BodyMemoryBytes bounds the memory of all request bodies; 0 for the default.
+	BodyMemoryBytes int64
+	DataCentre      figseam.DataCentre
+	Meter           Meter
+	Log             zerolog.Logger
 }
 
 // Meter collects the metrics of a [Relayer].
@@ -101,13 +106,16 @@
 	if settings.Throttle == nil {
 		settings.Throttle = throttler.New("", settings.Log)
 	}
+	if settings.BodyMemoryBytes <= 0 {
+		settings.BodyMemoryBytes = defaultBodyMemoryBytes
+	}
 	if settings.Quotas == nil {
 		settings.Quotas = admitter.NewQuotas(admitter.Tolerance{}, settings.Log)
 	}
 	r := &Relayer{
 		Settings: settings, tableSet: make(chan struct{}),
 		queues:        decodeQueues{changed: settings.Tracker.Changed, byService: map[string]*queuer.Queue{}, offered: map[string]offeredLoad{}},
-		requestMemory: limiter.NewBudget(maxRequestBodiesBytes), responseMemory: limiter.NewBudget(maxBufferedBytes),
+		requestMemory: limiter.NewBudget(settings.BodyMemoryBytes), responseMemory: limiter.NewBudget(maxBufferedBytes),
 	}
 	r.stopContext, r.endStop = context.WithCancel(context.Background())
 	r.cacheLocator = locator.New(r.queryCache, r.logCacheQueryFailure)
@@ -227,6 +235,10 @@
 // admit reads the request and finds its route. If it reports false, it has written a
 // refusal.
 func (t *task) admit(q *http.Request) bool {
+	// The deadlines also bound the time in which net/http reads the rest of a request that is
+	// refused early, and writes the refusal.
+	_ = t.control.SetReadDeadline(t.began.Add(bodyReadTimeoutMillis * time.Millisecond))
+	_ = t.control.SetWriteDeadline(t.began.Add(refusalTimeoutMillis * time.Millisecond))
 	request, err := t.Codec.DecodeRequest(q)
 	if err != nil {
 		t.refuse(http.StatusBadRequest, explainer.BadRequest)
@@ -298,9 +310,6 @@
 // readBody reads the request body, which is nil if there is none. The status and code are those of the refusal; the
 // code is empty if the body was read.
 func (t *task) readBody(q *http.Request, limit int64) (*limiter.Body, int, figseam.Code) {
-	// The deadline is not cleared after a refusal: it also bounds the time for which
-	// net/http reads the rest of the body.
-	_ = t.control.SetReadDeadline(time.Now().Add(bodyReadTimeoutMillis * time.Millisecond))
 	if q.ContentLength > limit {
 		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
 	}
@@ -308,7 +317,8 @@
 		_ = t.control.SetReadDeadline(time.Time{})
 		return nil, 0, ""
 	}
-	body, err := t.requestMemory.ReadBody(q.Body, int(limit))
+	abort := func() { _ = t.control.SetReadDeadline(time.Unix(1, 0)) }
+	body, err := t.requestMemory.ReadAbortableBody(q.Body, int(limit), abort)
 	switch {
 	case errors.Is(err, limiter.ErrBodyTooLarge):
 		return nil, http.StatusRequestEntityTooLarge, explainer.BodyTooLarge
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -85,7 +85,8 @@
 	}, e.log)
 	e.relayer = relayer.New(relayer.Settings{
 		Codec: platform.WireCodec{}, Connector: e.connector, EndpointList: e.list, Tracker: e.tracker, Budget: e.budget, Quarantine: e.quarantine, Throttle: e.throttle, Quotas: e.quotas,
-		DataCentre: settings.DataCentre, Meter: e.meter, Log: e.log,
+		BodyMemoryBytes: e.memoryShare(bodyMemoryShare),
+		DataCentre:      settings.DataCentre, Meter: e.meter, Log: e.log,
 	})
 	e.ReloadSettings(settings)
 	self := distributor.PollRequest{Instance: settings.PeerID(), DataCentre: settings.DataCentre}
@@ -158,19 +159,21 @@
 	if err != nil {
 		return err
 	}
-	e.servePeers(listeners)
-	e.serve(listeners[e.settings.ReadinessAddress], platform.ReadinessHandler(e.ready))
+	e.servePeers(listeners, entryPeerShare)
+	e.serve("readiness", probeDescriptorShare, listeners[e.settings.ReadinessAddress], platform.ReadinessHandler(e.ready))
 	callerListener, err := newClosingListener(listeners[e.settings.CallerAddress])
 	if err != nil {
 		return err
 	}
-	callers := e.serveObserved(callerListener, e.relayer, e.callerConns.observe)
+	callers := e.newServer(e.newConnections("callers", callerDescriptorShare), e.relayer)
+	callers.ConnState = e.callerConns.observe
+	e.start(callers, callerListener)
 	stopped := []<-chan struct{}{e.list.Run(tasks), e.subscriber.Run(tasks), runPeriodically(tasks, e.log, "load exchange", loadExchangeIntervalMillis, e.exchangeLoad), runPeriodically(tasks, e.log, "clean-up", cleanupIntervalMillis, e.cleanUp)}
 	e.log.Info().Str("callers", e.settings.CallerAddress).Msg("started")
 	<-ctx.Done()
 	e.draining.Store(true)
 	e.log.Info().Int64("active", e.relayer.ActiveRequests()).Msg("leaving")
-	e.drain(callerListener, callers)
+	e.drain(callerListener, callers.Server)
 	e.log.Info().Int64("active", e.relayer.ActiveRequests()).Msg("ended")
 	stop()
 	for _, taskStopped := range stopped {
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/distributor"
+	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/lister"
 	"github.com/figseam/figseam/loader"
 	"github.com/figseam/figseam/messenger"
@@ -36,8 +37,10 @@
 	// heap, in percent, that starts a collection.
 	memoryLimitRatio = 0.6
 	gcPercent        = 50
-	// maxHeaderBytes bounds the head of a request.
-	maxHeaderBytes = 128 << 10
+	// maxHeaderBytes bounds the head of a caller's request, maxControlHeaderBytes that of any
+	// other request.
+	maxHeaderBytes        = 128 << 10
+	maxControlHeaderBytes = 16 << 10
 )
 
 // base holds the components that entries and voters share.
@@ -88,32 +91,44 @@
 	return messenger.Call[distributor.PollRequest, distributor.PollReply](ctx, b.messenger, string(to), kindPoll, r)
 }
 
-// servePeers serves messages from other instances and metrics.
-func (b *base) servePeers(listeners map[string]net.Listener) {
+// servePeers serves messages from other instances, whose connections may use a share of the
+// descriptors, and metrics.
+func (b *base) servePeers(listeners map[string]net.Listener, descriptorShare float64) {
 	peers := http.NewServeMux()
 	peers.Handle(messenger.Path, b.messenger.Handler())
-	b.serve(listeners[b.settings.PeerListenAddress()], peers)
-	b.serve(listeners[b.settings.MetricsAddress], b.meter.Handler())
+	b.serve("peers", descriptorShare, listeners[b.settings.PeerListenAddress()], peers)
+	b.serve("metrics", probeDescriptorShare, listeners[b.settings.MetricsAddress], b.meter.Handler())
 }
 
-// serve serves HTTP on a listener until close is called.
-func (b *base) serve(l net.Listener, h http.Handler) *http.Server {
-	return b.serveObserved(l, h, nil)
+// serve serves HTTP on a listener until close is called. The connections may use a share of the
+// descriptors.
+func (b *base) serve(name string, descriptorShare float64, l net.Listener, h http.Handler) {
+	s := b.newServer(b.newConnections(name, descriptorShare), h)
+	s.MaxHeaderBytes = maxControlHeaderBytes
+	b.start(s, l)
 }
 
-// serveObserved is like serve. observe, if set, is called when the state of a connection
-// changes.
-func (b *base) serveObserved(l net.Listener, h http.Handler, observe func(net.Conn, http.ConnState)) *http.Server {
-	s := &http.Server{
-		Handler:           recoverer.Handler(b.log, h),
+// newServer returns a server for bounded connections.
+func (b *base) newServer(connections *limiter.Connections, h http.Handler) *boundedServer {
+	return &boundedServer{connections: connections, Server: &http.Server{
+		Handler:           connections.Handler(recoverer.Handler(b.log, h)),
+		ConnContext:       connections.Context,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
 		IdleTimeout:       idleTimeoutMillis * time.Millisecond,
-		ConnState:         observe,
-	}
-	b.servers = append(b.servers, s)
-	go func() { _ = s.Serve(l) }()
-	return s
+	}}
+}
+
+// boundedServer is a server with the connections that it accepts.
+type boundedServer struct {
+	*http.Server
+	connections *limiter.Connections
+}
+
+// start serves on a listener until close is called.
+func (b *base) start(s *boundedServer, l net.Listener) {
+	b.servers = append(b.servers, s.Server)
+	go func() { _ = s.Serve(s.connections.Listener(l)) }()
 }
 
 func (b *base) close() {
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -13,6 +13,7 @@
 	"github.com/figseam/figseam/distributor"
 	"github.com/figseam/figseam/journaler"
 	"github.com/figseam/figseam/keeper"
+	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/loader"
 	"github.com/figseam/figseam/messenger"
 	"github.com/figseam/figseam/platform"
@@ -195,8 +196,8 @@
 	if err != nil {
 		return err
 	}
-	v.servePeers(listeners)
-	v.serve(listeners[v.settings.OperatorAddress], platform.OperatorHandler(v.store, v.log))
+	v.servePeers(listeners, voterPeerShare)
+	v.serve("operators", operatorDescriptorShare, listeners[v.settings.OperatorAddress], platform.OperatorHandler(v.store, limiter.NewBudget(v.memoryShare(operatorMemoryShare)), v.log))
 	logStopped := v.node.Run(tasks)
 	stopped := []<-chan struct{}{v.list.Run(tasks), v.subscriber.Run(tasks), runPeriodically(tasks, v.log, "load exchange", loadExchangeIntervalMillis, v.exchangeWithVoters), runPeriodically(tasks, v.log, "stage changes", stageCheckIntervalMillis, newStageManager(v).changeStages)}
 	v.log.Info().Str("operators", v.settings.OperatorAddress).Str("replica", v.node.Self().Identity).Msg("started")
