queuer, matcher, relayer: waiting requests go by the priorities of account and route first

Cause: requests that could still meet their latency target went before late ones of any priority. Change: all requests for the same engines are ranked by the priorities of their account and route; the rank goes first, then on time before late, then accounts that used less of their quota, then the start deadline. A late request yields to other instances' requests that are no less urgent. Callers with more patience wait longer before they are refused.

--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -13,6 +13,7 @@
 type Index struct {
 	table  *figseam.Table
 	byHost map[string]map[string]*figseam.HostRoute
+	ranks  map[string]ranking
 }
 
 // New returns an index of a table.
@@ -26,6 +27,7 @@
 		}
 		x.byHost[host][r.PathPrefix] = r
 	}
+	x.ranks = rankRequests(table)
 	return x
 }
 
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -2,9 +2,12 @@
 // estimates their wait.
 //
 // Load pattern: bursts beyond the memory of the decode engines. A prefill whose decode
-// has no memory is wasted, so requests wait before their prefill. Requests that can still
-// meet their latency target are served first, by priority and then by the time by which
-// they must start. A late request waits until none of those is left, because further
+// has no memory is wasted, so requests wait before their prefill. Requests with more urgent
+// priorities are served first, also when they are late: a target that is harder to meet must not
+// cost a caller its place. Among equals, those that can still meet their latency target are
+// served first: first those of accounts that used less of their quota, so that an account with
+// many times its usual requests waits behind the others, then by the time by which they must
+// start. A late request waits until none of those is left, because further
 // delay costs it least. The estimate serves to refuse a request at once if it would start
 // after its caller gives up, and to state in the refusal when memory will be free.
 package queuer
@@ -24,8 +27,11 @@
 
 // Waiter is a request that waits for memory.
 type Waiter struct {
-	// Priority is the priority of the request's route; 0 is the most urgent.
-	Priority int
+	// Rank is the position of the priorities of the request's account and route among those
+	// of all requests for the same engines; 0 is the most urgent.
+	Rank int
+	// UsageStep is how far the account has recently used its quota, in steps.
+	UsageStep int
 	// StartDeadline is the time by which the request must start to meet its latency
 	// target.
 	StartDeadline time.Time
@@ -42,10 +48,12 @@
 func Precedes(a, b Waiter, now time.Time) bool {
 	aLate, bLate := a.Late(now), b.Late(now)
 	switch {
+	case a.Rank != b.Rank:
+		return a.Rank < b.Rank
 	case aLate != bLate:
 		return bLate
-	case a.Priority != b.Priority:
-		return a.Priority < b.Priority
+	case a.UsageStep != b.UsageStep:
+		return a.UsageStep < b.UsageStep
 	case !a.StartDeadline.Equal(b.StartDeadline):
 		return a.StartDeadline.Before(b.StartDeadline)
 	}
@@ -125,6 +133,23 @@
 	return all, onTime
 }
 
+// OnTimeTokensByRank returns the memory for requests of each rank, with or without an advance
+// reservation, that can still meet their latency target. Ranks from count on are left out.
+func (q *Queue) OnTimeTokensByRank(count int) []int {
+	tokens := make([]int, count)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	for _, waiters := range []map[*Waiter]struct{}{q.waiters, q.advanceReservations} {
+		for w := range waiters {
+			if w.Rank < count && !w.Late(now) {
+				tokens[w.Rank] += w.Tokens
+			}
+		}
+	}
+	return tokens
+}
+
 // Wait blocks until w is first in the queue and acquire returns true. It returns false if
 // ctx is cancelled or limit passes before. The queue is locked while acquire runs.
 func (q *Queue) Wait(ctx context.Context, w Waiter, limit figseam.Deadline, acquire func() bool) bool {
--- a/relayer/demand.go
+++ b/relayer/demand.go
@@ -78,6 +78,22 @@
 			d.Service = figseam.HashService(service)
 			all = append(all, d)
 		}
+		all = append(all, r.rankDemand(service, q)...)
+	}
+	return all
+}
+
+// rankDemand returns the demand of each rank but the most urgent one, which nobody asks for.
+func (r *Relayer) rankDemand(service string, q *queuer.Queue) []figseam.ServiceDemand {
+	index := r.index.Load()
+	if index == nil || index.RankCount(service) < 2 {
+		return nil
+	}
+	var all []figseam.ServiceDemand
+	for rank, tokens := range q.OnTimeTokensByRank(index.RankCount(service)) {
+		if rank > 0 && tokens > 0 {
+			all = append(all, figseam.ServiceDemand{Service: figseam.HashServiceRank(service, rank), OnTimeTokens: tokens})
+		}
 	}
 	return all
 }
@@ -91,12 +107,26 @@
 
 // forService returns the demand for a service; zero if it is unknown or has expired.
 func (o *remoteDemand) forService(service string) figseam.ServiceDemand {
+	return o.forHash(figseam.HashService(service))
+}
+
+// onTimeOfRanks returns the memory in tokens for requests that can still meet their latency
+// target, of the ranks from first on and below end.
+func (o *remoteDemand) onTimeOfRanks(service string, first, end int) int {
+	tokens := 0
+	for rank := first; rank < end; rank++ {
+		tokens += o.forHash(figseam.HashServiceRank(service, rank)).OnTimeTokens
+	}
+	return tokens
+}
+
+// forHash returns the demand that a hash identifies; zero if it is unknown or has expired.
+func (o *remoteDemand) forHash(hash uint32) figseam.ServiceDemand {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.expiresAt.Passed() {
 		return figseam.ServiceDemand{}
 	}
-	hash := figseam.HashService(service)
 	for _, d := range o.services {
 		if d.Service == hash {
 			return d
--- a/relayer/queueing.go
+++ b/relayer/queueing.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// maxStartDelayMillis is the longest delay from a request's arrival to its start:
+	// minStartDelayMillis and startDelayShare, a share of the time for which the route's callers
+	// wait for an event, determine the longest delay from a request's arrival to its start:
 	// callers give up if the first event comes later.
-	maxStartDelayMillis = 2500
+	minStartDelayMillis = 2500
+	startDelayShare     = 0.69
 	// retryAdvanceMillis is subtracted from the expected wait in the Retry-After of a
 	// refusal, because other callers may give up meanwhile.
 	retryAdvanceMillis = 300
@@ -38,7 +40,7 @@
 
 // newQueuedRequest prepares a request for the queue. It returns a code instead if the
 // service has no decode engine, or if the expected start is later than
-// maxStartDelayMillis. If all engines are at their limits, it waits for one of them.
+// maxStartDelayMillis allows. If all engines are at their limits, it waits for one of them.
 func (t *task) newQueuedRequest(now time.Time) (*queuedRequest, figseam.Code) {
 	u := &queuedRequest{task: t, queue: t.queues.forService(t.service), tokens: t.expectedTokens()}
 	// Once a stream has begun, the delay counts from its interruption.
@@ -51,15 +53,24 @@
 	if code == explainer.NoAvailableEndpoint {
 		return nil, code
 	}
-	if float64(now.Sub(waitingSince).Milliseconds())+wait > maxStartDelayMillis {
+	maxDelay := t.maxStartDelayMillis()
+	if float64(now.Sub(waitingSince).Milliseconds())+wait > maxDelay {
 		t.retryAfterMillis = retryAfterMillis(wait, code)
 		return nil, code
 	}
-	u.waiter = queuer.Waiter{Priority: t.route.Priority, StartDeadline: startBy, ArrivedAt: t.began, Tokens: u.tokens}
-	u.startLimit = figseam.DeadlineAt(waitingSince.Add(maxStartDelayMillis * time.Millisecond)).Min(t.request.Deadline)
+	u.waiter = queuer.Waiter{
+		Rank:      t.index.Load().Rank(t.service, t.accountPriority(), t.route.Priority),
+		UsageStep: t.Quotas.UsageStep(t.account), StartDeadline: startBy, ArrivedAt: t.began, Tokens: u.tokens,
+	}
+	u.startLimit = figseam.DeadlineAt(waitingSince.Add(time.Duration(maxDelay) * time.Millisecond)).Min(t.request.Deadline)
 	return u, ""
 }
 
+// maxStartDelayMillis returns the longest delay from the request's arrival to its start.
+func (t *task) maxStartDelayMillis() float64 {
+	return max(minStartDelayMillis, startDelayShare*float64(t.route.PatienceMillis))
+}
+
 // wait blocks until the request is placed on a decode engine that appears to have
 // enough free memory, or on any by an advance reservation. Without a placement it
 // returns the reason.
@@ -86,9 +97,21 @@
 }
 
 // yieldsToRemote reports whether the request leaves free memory to other instances: it
-// is late already, and they have requests that can still meet their latency target.
+// is late already, and they have requests that are no less urgent and can still meet their
+// latency target.
 func (u *queuedRequest) yieldsToRemote() bool {
-	return u.waiter.Late(time.Now()) && u.remoteDemand.forService(u.service).OnTimeTokens > 0
+	if !u.waiter.Late(time.Now()) {
+		return false
+	}
+	onTime := u.remoteDemand.forService(u.service).OnTimeTokens
+	return onTime-u.lessUrgentOnTime() > 0
+}
+
+// lessUrgentOnTime returns the memory for which requests wait at other instances that are less
+// urgent than this one and can still meet their latency target.
+func (u *queuedRequest) lessUrgentOnTime() int {
+	count := u.index.Load().RankCount(u.service)
+	return u.remoteDemand.onTimeOfRanks(u.service, u.waiter.Rank+1, count)
 }
 
 // yieldsAdvanceReservation reports whether the request gives up its advance
--- a/table.go
+++ b/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -213,7 +214,8 @@
 
 // ServiceDemand is the demand of requests for the engines of a service.
 type ServiceDemand struct {
-	// Service is the hash of the service's name.
+	// Service is the hash of the service's name, or of the name and a rank: the demand then
+	// consists of the OnTimeTokens of the requests of this rank.
 	Service uint32 `cbor:"1,keyasint"`
 	// QueuedTokens is the memory in tokens needed by waiting requests that have no advance
 	// reservation on an engine. OnTimeTokens is that needed by waiting requests, with or
@@ -245,3 +247,9 @@
 
 // HashService returns the hash that identifies a service in messages.
 func HashService(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
+
+// HashServiceRank returns the hash that identifies, in messages, the requests of one rank for a
+// service; see [ServiceDemand].
+func HashServiceRank(name string, rank int) uint32 {
+	return uint32(xxhash.Sum64String(name + "\x00" + strconv.Itoa(rank)))
+}
