admitter, relayer: quotas are strict only where others wait noticeably; cheap requests keep room

Change: others count as waiting when the expected wait reaches a quarter of the route's latency target. Cheap requests may use one burst more. 0.65 of the deployment's tolerance is usable.

--- a/admitter/quotas.go
+++ b/admitter/quotas.go
@@ -32,6 +32,10 @@
 	// leaves, so that an account is soon served again once others wait.
 	maxDebtBursts   = 2
 	maxDebtRequests = 8
+	// cheapShare is the share of the burst up to which a request is cheap. Cheap requests may
+	// use cheapDebtBursts more than others, so that expensive ones do not starve them.
+	cheapShare      = 0.02
+	cheapDebtBursts = 1
 	// usageSteps is the number of steps in which the usage of an account's quota is compared.
 	usageSteps = 4
 )
@@ -75,7 +79,7 @@
 
 // usableTolerance is the part of the tolerance that accounts may use. The rest covers requests
 // that other instances admit before this one learns of them.
-const usableTolerance = 0.5
+const usableTolerance = 0.65
 
 // perSecond returns the rate that a quota may reach with the usable part of the tolerance. With
 // the quota's burst, it allows no more in a window than the tolerance does.
@@ -124,9 +128,17 @@
 	b.refilledAt = now
 }
 
+// needed returns the level that a request with a cost needs.
+func (b *accountBucket) needed(cost, part float64) float64 {
+	if cost <= cheapShare*b.quota.Burst {
+		return cost - cheapDebtBursts*b.quota.Burst*part
+	}
+	return cost
+}
+
 // retryMillis returns the time until a request with a cost would be admitted without others.
 func (b *accountBucket) retryMillis(cost, part float64) float64 {
-	return max(0, cost-b.tolerated) / (b.toleratedPerSecond * part) * 1000
+	return max(0, b.needed(cost, part)-b.tolerated) / (b.toleratedPerSecond * part) * 1000
 }
 
 // decayingSum is an amount that decays with usageDecayMillis.
@@ -180,7 +192,7 @@
 	}
 	b.largestCost = max(b.largestCost, cost)
 	b.refill(part, now)
-	if b.strict < cost && (contended || b.tolerated < cost) {
+	if needed := b.needed(cost, part); b.strict < needed && (contended || b.tolerated < needed) {
 		q.logRefusal(b, part)
 		return Claim{}, b.retryMillis(cost, part) + rand.Float64()*retrySpreadMillis, false
 	}
--- a/admitter/quotas_test.go
+++ b/admitter/quotas_test.go
@@ -308,3 +308,21 @@
 		require.Empty(t, f.quotas[0].LocalUsage())
 	})
 }
+
+// TestCheapRequestsAreNotStarved guards against an account whose expensive requests use up its
+// quota whenever it grows, so that its cheap requests are refused.
+func TestCheapRequestsAreNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(5, 1))
+		f := newQuotaFleet(20)
+		f.run(random, 3, 5*perSecond, 20)
+		refused := 0
+		for range 1000 {
+			f.run(random, tick.Seconds(), 5*perSecond, 20)
+			if _, _, ok := f.quotas[random.IntN(20)].Take(&f.account, 100, false); !ok {
+				refused++
+			}
+		}
+		require.LessOrEqual(t, refused, 50)
+	})
+}
--- a/relayer/accounts.go
+++ b/relayer/accounts.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/explainer"
+	"github.com/figseam/figseam/queuer"
 )
 
 // identify finds the account of the request by its API key. If it reports false, it has
@@ -39,14 +41,20 @@
 	return true
 }
 
-// contended reports whether requests wait for the engines of the request's service, here or at
-// other instances.
+// contentionShare is the share of a route's latency target from which on the expected wait
+// for an engine counts as contention.
+const contentionShare = 0.25
+
+// contended reports whether the request would take engines from others that wait for them, here
+// or at other instances.
 func (t *task) contended() bool {
 	if !t.route.IsModelRoute {
 		return false
 	}
-	_, onTime := t.queues.forService(t.service).QueuedTokens()
-	return onTime+t.remoteDemand.forService(t.service).OnTimeTokens > 0
+	load, engines := t.decodeLoad(t.queues.forService(t.service))
+	startBy := t.began.Add(time.Duration(t.route.LatencyTargetMillis) * time.Millisecond)
+	wait := queuer.ExpectedWaitMillis(load, t.expectedTokens(), t.began, startBy)
+	return engines > 0 && wait > contentionShare*float64(t.route.LatencyTargetMillis)
 }
 
 // returnUnused returns what the request took from the quota of its account, unless it may have
