--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -54,7 +54,7 @@
 		e := choice.Candidate.Endpoint
 		began := time.Now()
 		var response bufferedResponse
-		response, code = t.callOnce(ctx, choice.Candidate)
+		response, code = t.callOnce(ctx, e)
 		t.recordStep(e, "call", choice, code, began)
 		t.excluded[e.ID] = true
 		t.mayHaveRun = t.mayHaveRun || (!unsent(code) && code != explainer.EndpointRejected)
@@ -92,26 +92,17 @@
 // chooseCallEndpoint returns the best endpoint. An endpoint that was tried before is
 // chosen again only if there is no other or all others are in backoff.
 func (t *task) chooseCallEndpoint() (selector.Choice, bool) {
-	choice, ok := t.chooseForCall()
+	choice, ok := t.choose(figseam.EndpointStageNone, t.DataCentre, 0)
 	if t.attempts == 0 || (ok && choice.Reason != selector.ReasonNoHealthyEndpoint) {
 		return choice, ok
 	}
 	t.excluded = map[string]bool{}
-	return t.chooseForCall()
-}
-
-// chooseForCall returns the best endpoint for a call.
-func (t *task) chooseForCall() (selector.Choice, bool) {
-	candidates := t.candidates(figseam.EndpointStageNone, 0)
-	for i := range candidates {
-		candidates[i].OwnMillis = t.callDurations.value(t.service)
-	}
-	return selector.Choose(candidates, t.DataCentre, newRand())
+	return t.choose(figseam.EndpointStageNone, t.DataCentre, 0)
 }
 
 // callOnce sends the request to one endpoint and reads the whole response.
-func (t *task) callOnce(ctx context.Context, c selector.Candidate) (buffered bufferedResponse, code figseam.Code) {
-	e, began := c.Endpoint, time.Now()
+func (t *task) callOnce(ctx context.Context, e figseam.ListedEndpoint) (buffered bufferedResponse, code figseam.Code) {
+	began := time.Now()
 	inFlight := t.Tracker.StartRequest(e, expectedCallMillis, 0)
 	endpointResult := selector.ResultFailure
 	defer func() { inFlight.Finish(endpointResult) }()
@@ -139,9 +130,6 @@
 	}
 	body, code := t.readWhole(ctx, response)
 	endpointResult = t.callResult(code, began)
-	if code == "" {
-		t.recordCallPace(c, time.Since(began))
-	}
 	if code == "" && response.Status >= http.StatusInternalServerError {
 		endpointResult = selector.ResultFailure
 	}
@@ -157,9 +145,3 @@
 	}
 	return resultOf(code)
 }
-
-// recordCallPace compares the duration of a call with the mean of its service.
-func (t *task) recordCallPace(c selector.Candidate, took time.Duration) {
-	millis := float64(took.Milliseconds())
-	t.Tracker.RecordPace(c.Endpoint, millis, t.callDurations.observe(t.service, millis), c.WorkMillis)
-}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -84,7 +84,6 @@
 	remoteDemand     remoteDemand
 	residence        residenceMean
 	prefillEstimator selector.PrefillEstimator
-	callDurations    durationMeans
 	cacheLocator     *locator.Locator
 	reservations     recentReservations
 	// requestMemory and responseMemory hold the bodies that are read completely.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -42,10 +42,6 @@
 	// WorkMillis is the expected duration of the requests in flight, those of this
 	// instance and those of others.
 	WorkMillis float64
-	// OwnMillis is the time that the request is expected to occupy the endpoint, and Pace how
-	// long work takes there relative to what is expected; 0 if it is not known.
-	OwnMillis float64
-	Pace      float64
 	// MemoryUtilization is the share of its memory that is in use or reserved.
 	MemoryUtilization float64
 	// FailureRate is the decaying average share of failed requests, 0 to 1.
@@ -93,7 +89,7 @@
 // home. Endpoints in backoff are used only if all are in backoff: a healthy endpoint that
 // is full has capacity again sooner. Choose returns false if no endpoint has capacity.
 func Choose(candidates []Candidate, home figseam.DataCentre, random *rand.Rand) (Choice, bool) {
-	typical := medians{failureRate: medianFailureRate(candidates), pace: medianPace(candidates)}
+	medianRate := medianFailureRate(candidates)
 	best, fallback := Choice{CostMillis: math.Inf(1)}, Choice{CostMillis: math.Inf(1)}
 	healthy := false
 	for _, c := range candidates {
@@ -102,7 +98,7 @@
 		if c.Full {
 			continue
 		}
-		cost := requestCost(c, home, typical) + random.Float64()*tieBreakMillis
+		cost := requestCost(c, home, medianRate) + random.Float64()*tieBreakMillis
 		if inBackoff && cost < fallback.CostMillis {
 			fallback = Choice{Candidate: c, CostMillis: cost, Reason: ReasonNoHealthyEndpoint}
 		}
@@ -138,18 +134,15 @@
 	return c.SinceFailureMillis < backoff || c.ProbeInFlight
 }
 
-// medians holds what is usual among the candidates of a choice.
-type medians struct{ failureRate, pace float64 }
-
-func requestCost(c Candidate, home figseam.DataCentre, typical medians) float64 {
-	cost := c.WorkMillis + paceCost(c, typical.pace) + memoryCost(c)
+func requestCost(c Candidate, home figseam.DataCentre, medianRate float64) float64 {
+	cost := c.WorkMillis + memoryCost(c)
 	if c.Endpoint.DataCentre != home {
 		cost += crossCentreCost(c.Endpoint.Stage)
 		if c.DataCentreSuspect {
 			cost += suspectCostMillis
 		}
 	}
-	if excess := c.FailureRate - typical.failureRate; excess > 0 {
+	if excess := c.FailureRate - medianRate; excess > 0 {
 		cost += excess * failureCostMillis
 	}
 	if c.NoResponseMillis > c.ResponseTimeoutMillis {
--- a/selector/tracker.go
+++ b/selector/tracker.go
@@ -63,9 +63,6 @@
 	// failed connection, and zero after a response.
 	respondedAt   time.Time
 	unreachableAt time.Time
-	// pace sums how long work took, noise what the endpoint said of its machine.
-	pace  slotSum
-	noise slotSum
 }
 
 // unreachable reports whether the last connection to the endpoint failed, unless that was
@@ -84,10 +81,6 @@
 	remoteUsageAt time.Time
 	changed       chan struct{}
 	dataCentres   map[figseam.DataCentre]*dataCentreState
-	// shared holds the services whose endpoints say how long work takes on their machines,
-	// which they share with others.
-	shared map[string]bool
-	began  time.Time
 }
 
 // dataCentreState holds the times at which an endpoint of a data centre last responded and
@@ -105,7 +98,7 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{states: map[figseam.EndpointRun]*endpointState{}, changed: make(chan struct{}), dataCentres: map[figseam.DataCentre]*dataCentreState{}, shared: map[string]bool{}, began: time.Now()}
+	return &Tracker{states: map[figseam.EndpointRun]*endpointState{}, changed: make(chan struct{}), dataCentres: map[figseam.DataCentre]*dataCentreState{}}
 }
 
 // Changed returns a channel that is closed when capacity may have become free.
@@ -129,16 +122,17 @@
 	now := time.Now()
 	var usage []figseam.EndpointUsage
 	for run, s := range t.states {
-		u := t.addPace(figseam.EndpointUsage{Endpoint: figseam.HashEndpoint(run.ID)}, s, now)
-		if s.inFlight > 0 {
-			u.Requests, u.WorkMillis, u.MemoryTokens = s.inFlight, int(s.workMillis), s.memoryTokens
+		unreachable := s.unreachable(now)
+		if s.inFlight == 0 && !unreachable {
+			continue
 		}
-		if s.unreachable(now) {
-			u.UnreachableFrom = 1
+		u := figseam.EndpointUsage{
+			Endpoint: figseam.HashEndpoint(run.ID), Requests: s.inFlight, WorkMillis: int(s.workMillis), MemoryTokens: s.memoryTokens,
 		}
-		if u != (figseam.EndpointUsage{Endpoint: u.Endpoint}) {
-			usage = append(usage, u)
+		if unreachable {
+			u.UnreachableFrom = 1
 		}
+		usage = append(usage, u)
 	}
 	return usage
 }
@@ -225,7 +219,6 @@
 	s := t.state(e)
 	remoteRequests := max(0, load.Running+load.Waiting-s.inFlight)
 	s.reportedMillis, s.reportedAt = float64(remoteRequests)*requestMillis, time.Now()
-	t.recordNoise(e, s, load.PacePercent)
 }
 
 // Candidates returns the state of the endpoints that are neither draining nor excluded.
@@ -253,7 +246,6 @@
 	}
 	remote, fresh := t.remoteEndpointUsage(e.ID, now)
 	c.WorkMillis = s.workMillis + float64(remote.WorkMillis)
-	t.setPace(&c, s, remote, now)
 	if !fresh {
 		c.WorkMillis += decay(s.reportedMillis, now.Sub(s.reportedAt), loadDecayMillis)
 	}
--- a/table.go
+++ b/table.go
@@ -187,15 +187,6 @@
 	// UnreachableFrom is the number of instances that recently failed to connect to the
 	// endpoint.
 	UnreachableFrom int `cbor:"5,keyasint,omitempty"`
-	// PaceCount is the number of recent observations of how long work takes at the endpoint,
-	// PaceSlow that of slow ones, and PaceSum the sum of these in percent of what is expected.
-	// NoiseCount, NoiseSlow and NoiseSum are the same for what the endpoint says of its machine.
-	PaceCount  int `cbor:"10,keyasint,omitempty"`
-	PaceSlow   int `cbor:"11,keyasint,omitempty"`
-	PaceSum    int `cbor:"12,keyasint,omitempty"`
-	NoiseCount int `cbor:"13,keyasint,omitempty"`
-	NoiseSlow  int `cbor:"14,keyasint,omitempty"`
-	NoiseSum   int `cbor:"15,keyasint,omitempty"`
 }
 
 // Add returns the sum of two usages of an endpoint.
@@ -205,8 +196,6 @@
 		MemoryTokens: u.MemoryTokens + v.MemoryTokens, UnreachableFrom: u.UnreachableFrom + v.UnreachableFrom,
 		RecentRequests: u.RecentRequests + v.RecentRequests, LimitedFrom: u.LimitedFrom + v.LimitedFrom, LimitMillis: u.LimitMillis + v.LimitMillis,
 		UnlimitedFrom: u.UnlimitedFrom + v.UnlimitedFrom,
-		PaceCount:     u.PaceCount + v.PaceCount, PaceSlow: u.PaceSlow + v.PaceSlow, PaceSum: u.PaceSum + v.PaceSum,
-		NoiseCount: u.NoiseCount + v.NoiseCount, NoiseSlow: u.NoiseSlow + v.NoiseSlow, NoiseSum: u.NoiseSum + v.NoiseSum,
 	}
 }
 
@@ -217,8 +206,6 @@
 		MemoryTokens: -u.MemoryTokens, UnreachableFrom: -u.UnreachableFrom,
 		RecentRequests: -u.RecentRequests, LimitedFrom: -u.LimitedFrom, LimitMillis: -u.LimitMillis,
 		UnlimitedFrom: -u.UnlimitedFrom,
-		PaceCount:     -u.PaceCount, PaceSlow: -u.PaceSlow, PaceSum: -u.PaceSum,
-		NoiseCount: -u.NoiseCount, NoiseSlow: -u.NoiseSlow, NoiseSum: -u.NoiseSum,
 	}
 }
 
--- a/wire.go
+++ b/wire.go
@@ -130,9 +130,6 @@
 	Running int
 	Waiting int
 	Slots   int
-	// PacePercent is how long work takes on the endpoint's machine at this moment, 100 for as
-	// long as usual; 0 if the endpoint does not say.
-	PacePercent int
 }
 
 // PrefillHandle identifies a prefill result on the engine that holds it.
