--- a/admitter/quotas.go
+++ b/admitter/quotas.go
@@ -336,7 +336,7 @@
 	defer q.mu.Unlock()
 	now := time.Now()
 	count, first := instances+1, q.sumAt.IsZero()
-	comparable := now.Sub(q.sumAt) <= maxSumAgeMillis*time.Millisecond && math.Abs(float64(count-q.lastCount)) <= maxCountChange*float64(count)
+	alike := now.Sub(q.sumAt) <= maxSumAgeMillis*time.Millisecond && math.Abs(float64(count-q.lastCount)) <= maxCountChange*float64(count)
 	sums := make(map[uint32]float64, len(usage))
 	for _, u := range usage {
 		sums[u.Account] = float64(u.RecentMillis) / 1000
@@ -347,7 +347,7 @@
 		if first {
 			b.fill(sums[key])
 		}
-		if comparable {
+		if alike {
 			b.take(sums[key] - b.remote.valueAt(now))
 		}
 		b.remote = decayingSum{value: sums[key], at: now}
--- a/loader/relay_test.go
+++ b/loader/relay_test.go
@@ -37,6 +37,10 @@
 	}{
 		{"unknown field", `"instance"`, `"instances": 1, "instance"`, false, `entry.json:2: field "instances"`},
 		{"missing field", `"memory_mb": 134, `, ``, false, `field "memory_mb"`},
+		{"quota tolerance over 1", `"grace_s"`, `"quota_tolerance": 1.5, "grace_s"`, false, `field "quota_tolerance"`},
+		{"negative quota allowance", `"grace_s"`, `"quota_allowance": -1, "grace_s"`, false, `field "quota_allowance"`},
+		{"negative quota window", `"grace_s"`, `"quota_window_s": -1, "grace_s"`, false, `field "quota_window_s"`},
+		{"negative descriptors", `"grace_s"`, `"max_descriptors": -1, "grace_s"`, false, `field "max_descriptors"`},
 		{"invalid caller address", `"10.0.0.1:80"`, `"here"`, false, `entry.json:3: field "callers"`},
 		{"invalid peer bind address", `"metrics"`, `"peers_listen": "here", "metrics"`, false, `entry.json:3: field "peers_listen"`},
 		{"seed without port", `"10.0.0.3:90"`, `"10.0.0.3"`, false, `entry.json:4: field "seeds"`},
--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -62,3 +62,24 @@
 	fmt.Println(r.Name, ok)
 	// Output: long true
 }
+
+// TestRankFollowsAccountThenRoute guards against a route's priority that goes before that of the
+// account, and against ranks that differ between instances with the same table.
+func TestRankFollowsAccountThenRoute(t *testing.T) {
+	weighted := []figseam.WeightedService{{Service: "pool", Weight: 1}}
+	x := matcher.New(&figseam.Table{
+		Routes: []figseam.HostRoute{
+			{PathPrefix: "/a/", Priority: 1, IsModelRoute: true, WeightedServices: weighted},
+			{PathPrefix: "/b/", Priority: 5, IsModelRoute: true, WeightedServices: weighted},
+			{PathPrefix: "/c/", Priority: 0, WeightedServices: weighted},
+		},
+		Accounts: map[figseam.Account]*figseam.ClientAccount{"x": {Priority: 2}, "y": {Priority: 0}, "z": {Priority: 2}},
+	})
+	tests := []struct{ account, route, want int }{{0, 1, 0}, {0, 5, 1}, {2, 1, 2}, {2, 5, 3}}
+	for _, tt := range tests {
+		require.Equal(t, tt.want, x.Rank("pool", tt.account, tt.route))
+	}
+	require.Equal(t, 4, x.RankCount("pool"))
+	require.Zero(t, x.RankCount("desk"))
+	require.Zero(t, x.Rank("desk", 2, 5))
+}
--- a/relayer/accounts.go
+++ b/relayer/accounts.go
@@ -85,7 +85,7 @@
 // keyWithdrawn reports whether the request's API key was withdrawn, or given to another
 // account, since the request was admitted. A request that may have run keeps its account.
 func (t *task) keyWithdrawn() bool {
-	if t.account == nil || t.mayHaveRun {
+	if t.account == nil || t.route.Public || t.mayHaveRun {
 		return false
 	}
 	table := t.index.Load().Table()
--- a/relayer/placing_test.go
+++ b/relayer/placing_test.go
@@ -102,7 +102,7 @@
 
 // TestLateRequestYieldsToOnTimeRequestsOfOtherInstances covers a burst on two
 // instances: while the other instance has on-time requests, a late request must leave
-// free memory to them.
+// free memory to them, unless they are less urgent.
 func TestLateRequestYieldsToOnTimeRequestsOfOtherInstances(t *testing.T) {
 	const service = "s"
 	synctest.Test(t, func(t *testing.T) {
@@ -110,13 +110,18 @@
 		engine := figseam.ListedEndpoint{ID: "g", Address: "g:1", Service: service, Stage: figseam.EndpointStageDecode}
 		list.Merge(lister.Snapshot{Loaded: true, Digest: 1, Endpoints: []figseam.ListedEndpoint{engine}})
 		r := New(Settings{EndpointList: list, Tracker: selector.NewTracker(), Budget: budgeter.New(budgeter.Settings{WindowMillis: 1000})})
-		r.SetTable(&figseam.Table{Version: 1, Services: map[string]figseam.HostService{
-			service: {Name: service, Engine: &figseam.EngineSpec{MemoryTokens: 1000}},
-		}})
-		setRemoteOnTime := func(tokens int) {
-			r.SetRemoteDemand([]figseam.ServiceDemand{{Service: figseam.HashService(service), OnTimeTokens: tokens}})
+		weighted := []figseam.WeightedService{{Service: service, Weight: 1}}
+		r.SetTable(&figseam.Table{
+			Version: 1, Services: map[string]figseam.HostService{service: {Name: service, Engine: &figseam.EngineSpec{MemoryTokens: 1000}}},
+			Routes: []figseam.HostRoute{{Priority: 0, IsModelRoute: true, WeightedServices: weighted}, {Priority: 1, IsModelRoute: true, WeightedServices: weighted}},
+		})
+		setRemoteDemand := func(demand ...figseam.ServiceDemand) {
+			r.SetRemoteDemand(demand)
 			r.Tracker.SetRemoteUsage(nil)
 		}
+		setRemoteOnTime := func(tokens int) {
+			setRemoteDemand(figseam.ServiceDemand{Service: figseam.HashService(service), OnTimeTokens: tokens})
+		}
 		acquire := func(age time.Duration) (*placement, figseam.Code) {
 			request := &task{
 				Relayer: r, service: service, route: &figseam.HostRoute{LatencyTargetMillis: 900}, began: time.Now().Add(-age), excluded: map[string]bool{},
@@ -141,5 +146,14 @@
 		require.Empty(t, code)
 		require.Zero(t, time.Since(began), "an on-time request does not wait")
 		placed.inFlight.Finish(selector.ResultIgnored)
+
+		setRemoteDemand(
+			figseam.ServiceDemand{Service: figseam.HashService(service), OnTimeTokens: 500},
+			figseam.ServiceDemand{Service: figseam.HashServiceRank(service, 1), OnTimeTokens: 500},
+		)
+		placed, code = acquire(1500 * time.Millisecond)
+		require.Empty(t, code)
+		require.Zero(t, time.Since(began), "a late request does not wait for less urgent ones")
+		placed.inFlight.Finish(selector.ResultIgnored)
 	})
 }
