--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,6 +4,9 @@
 // independently, so that a partitioned data centre continues to serve requests. If the
 // owner of a bucket cannot be reached, the instance that received the request uses a
 // bucket of its own.
+//
+// [Quotas] keeps quotas of opaque requests over all data centres, for which every instance
+// simulates the buckets.
 package admitter
 
 import (
