limiter: a test of connections ends when its server does not

Change: connections of the test have a deadline, and one that is still open at it counts as a failure; two comments of admitter and account.go.

--- a/account.go
+++ b/account.go
@@ -56,7 +56,7 @@
 	return KeyDigest(sum[:16])
 }
 
-// AccountUsage is what one or more instances recently took from the quota of an account.
+// AccountUsage is the recent usage of an account's quota by one or more instances.
 type AccountUsage struct {
 	// Account is the hash of the account's name.
 	Account uint32 `cbor:"1,keyasint"`
--- a/admitter/quotas.go
+++ b/admitter/quotas.go
@@ -61,7 +61,7 @@
 	return &Quotas{log: log, accounts: map[uint32]*accountBucket{}, tolerance: tolerance, startCount: 1}
 }
 
-// Claim is what a request took from the quota of its account.
+// Claim is the part of an account's quota that a request uses.
 type Claim struct {
 	account uint32
 	cost    float64
--- a/limiter/connections_test.go
+++ b/limiter/connections_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -41,11 +42,15 @@
 	return s
 }
 
+// connectionTimeout ends a test whose server neither responds nor closes the connection.
+const connectionTimeout = 15 * time.Second
+
 // connect opens a connection and sends a text.
 func (s *boundedServer) connect(t *testing.T, text string) net.Conn {
 	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(connectionTimeout)))
 	_, err = io.WriteString(c, text)
 	require.NoError(t, err)
 	return c
@@ -64,6 +69,7 @@
 	t.Helper()
 	_, err := bufio.NewReader(c).ReadByte()
 	require.Error(t, err)
+	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is still open")
 }
 
 const plainRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
