limiter: the test of the heaviest head does not depend on time

It also compared the ages of two connections in real time. Change: the test waits until the heads are held (new Connections.HeldBytes) and opens the heavy head first; the cleanup releases waiting handlers.

--- a/limiter/connections.go
+++ b/limiter/connections.go
@@ -66,6 +66,13 @@
 	return len(c.open)
 }
 
+// HeldBytes returns the memory that the heads of unfinished requests hold.
+func (c *Connections) HeldBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heldBytes
+}
+
 // Evicted returns the number of connections that were closed because a bound was reached.
 func (c *Connections) Evicted() int64 { return c.evicted.Load() }
 
--- a/limiter/connections_test.go
+++ b/limiter/connections_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,15 +21,17 @@
 )
 
 // boundedServer serves requests on bounded connections. A request whose path is /wait is
-// answered once release is closed.
+// answered once respond has been called.
 type boundedServer struct {
 	*httptest.Server
 	connections *limiter.Connections
 	release     chan struct{}
+	respond     func()
 }
 
 func newBoundedServer(t *testing.T, maxCount int, maxBytes int64) *boundedServer {
 	s := &boundedServer{connections: limiter.NewConnections("test", maxCount, maxBytes, zerolog.Nop()), release: make(chan struct{})}
+	s.respond = sync.OnceFunc(func() { close(s.release) })
 	s.Server = httptest.NewUnstartedServer(s.connections.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
 			<-s.release
@@ -38,7 +41,10 @@
 	s.Listener = s.connections.Listener(s.Listener)
 	s.Config.ConnContext = s.connections.Context
 	s.Start()
-	t.Cleanup(s.Close)
+	t.Cleanup(func() {
+		s.respond()
+		s.Close()
+	})
 	return s
 }
 
@@ -87,7 +93,7 @@
 	requireStatus(t, s.connect(t, plainRequest), http.StatusNoContent)
 	requireClosed(t, silent)
 	require.EqualValues(t, 1, s.connections.Evicted())
-	close(s.release)
+	s.respond()
 	requireStatus(t, served, http.StatusNoContent)
 }
 
@@ -97,8 +103,11 @@
 	const head = "GET / HTTP/1.1\r\nHost: a\r\n"
 	s := newBoundedServer(t, 100, 1<<20)
 	small := s.connect(t, head)
-	light := s.connect(t, head+strings.Repeat("x:\r\n", 500))
+	// The heavy one is opened before the light one, so that the outcome does not depend on the
+	// time between them. All must have been read before the bound is reached.
 	heavy := s.connect(t, head+strings.Repeat("x:\r\n", 1500))
+	light := s.connect(t, head+strings.Repeat("x:\r\n", 500))
+	require.Eventually(t, func() bool { return s.connections.HeldBytes() > 1_030_000 }, time.Minute, time.Millisecond)
 	requireStatus(t, s.connect(t, head+strings.Repeat("y:\r\n", 600)+"\r\n"), http.StatusNoContent)
 	requireClosed(t, heavy)
 	for _, c := range []net.Conn{small, light} {
