replicator: a command does not wait for a stopped leader once the next one is known

Cause: a command that was sent to a leader that no longer responds waited for the whole timeout of the attempt (700 ms), although the instance's own replica already knew the next leader. With one split vote, an order could use up the half of its route's timeout that its claim may take, and was refused with no_majority. Change: the attempt ends when another leader is known. The command is then proposed to that one, as after a timeout.

--- a/replicator/client.go
+++ b/replicator/client.go
@@ -96,6 +96,14 @@
 	}
 	attemptCtx, cancel := context.WithTimeout(ctx, proposeTimeoutMillis*time.Millisecond)
 	defer cancel()
+	if c.local != nil && c.local.Status().Leader.Instance == to {
+		// A stopped leader does not respond. Without this, a command waits for the whole
+		// timeout of its attempt although the next leader is known.
+		go func() {
+			c.local.awaitOtherLeader(attemptCtx, to)
+			cancel()
+		}()
+	}
 	reply, err := c.transport.Propose(attemptCtx, to, ProposeRequest{Command: command})
 	switch {
 	case err != nil:
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -216,7 +216,7 @@
 // commit them. The caller holds mu.
 func (n *Node) stepDown() {
 	if n.role == leader {
-		n.leader = Replica{}
+		n.setLeader(Replica{})
 		for _, p := range n.peers {
 			p.stop()
 		}
@@ -242,7 +242,8 @@
 	if n.term != term || n.role != candidate || n.stopCause != nil {
 		return
 	}
-	n.role, n.leader = leader, n.self
+	n.role = leader
+	n.setLeader(n.self)
 	n.lastAppend = time.Now()
 	n.log.Info().Uint64("term", term).Uint64("last", n.lastIndex()).Msg("leading")
 	n.queued = append(n.queued, newProposal(kindEmpty, nil))
--- a/replicator/faults_test.go
+++ b/replicator/faults_test.go
@@ -265,3 +265,37 @@
 		require.True(t, errors.Is(err, figseam.ErrNotProposed) || errors.Is(err, context.DeadlineExceeded), "%v", err)
 	})
 }
+
+// TestStoppedLeaderDelaysNoCommandPastElection guards against commands that wait for a
+// stopped leader although their instance knows the next one.
+func TestStoppedLeaderDelaysNoCommandPastElection(t *testing.T) {
+	withSettledGroup(t, func(t *testing.T, g *group) {
+		l := g.awaitLeader(t)
+		from := g.follower()
+		client := replicator.NewClient(from.node, link{g, from.name}, g.voterNames)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		var commands sync.WaitGroup
+		confirmedAt := make(chan time.Time, 1000)
+		propose := func() {
+			_, err := client.Propose(ctx, figseam.Command{Machine: "ledger", Body: []byte("x")})
+			require.NoError(t, err)
+			confirmedAt <- time.Now()
+		}
+		g.setIsolated(l.name, true)
+		leaderKnown := func() bool {
+			s := from.node.Status().Leader.Instance
+			return s != "" && s != l.name
+		}
+		for !leaderKnown() {
+			commands.Go(propose)
+			time.Sleep(20 * time.Millisecond)
+		}
+		known := time.Now()
+		commands.Wait()
+		close(confirmedAt)
+		for at := range confirmedAt {
+			require.Less(t, at.Sub(known), 400*time.Millisecond, "a command waited for the stopped leader")
+		}
+	})
+}
--- a/replicator/following.go
+++ b/replicator/following.go
@@ -1,9 +1,11 @@
 package replicator
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/journaler"
 )
 
@@ -52,11 +54,41 @@
 	if n.role != follower {
 		n.stepDown()
 	}
-	n.leader, n.lastLeaderContact = h.From, time.Now()
+	n.setLeader(h.From)
+	n.lastLeaderContact = time.Now()
 	n.resetElectionTimer()
 	return true
 }
 
+// setLeader records the leader and notifies those that wait for another one. The caller
+// holds mu.
+func (n *Node) setLeader(l Replica) {
+	if n.leader.Identity == l.Identity {
+		return
+	}
+	n.leader = l
+	close(n.leaderChanged)
+	n.leaderChanged = make(chan struct{})
+}
+
+// awaitOtherLeader blocks until a leader on another instance than the given one is known, or
+// until the context ends.
+func (n *Node) awaitOtherLeader(ctx context.Context, instance figseam.InstanceID) {
+	for {
+		n.mu.Lock()
+		leader, changed := n.leader.Instance, n.leaderChanged
+		n.mu.Unlock()
+		if leader != "" && leader != instance {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // conflictIndex returns the index from which the leader should retry: the one after
 // the end of this log, or the first entry of the conflicting term.
 func (n *Node) conflictIndex(prevIndex uint64) uint64 {
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -119,6 +119,8 @@
 	votedFor string
 	role     role
 	leader   Replica
+	// leaderChanged is closed and replaced when another leader becomes known.
+	leaderChanged chan struct{}
 	// entries holds the log after baseIndex; baseTerm is the term of the discarded
 	// entry at baseIndex.
 	entries         []journaler.Entry
@@ -180,6 +182,7 @@
 		diskFailure: make(chan error, 1), wakeApply: make(chan struct{}, 1), wakeJournal: make(chan struct{}, 1),
 		journal: journal, term: recovered.HardState.Term, votedFor: recovered.HardState.Vote,
 		entries: recovered.Entries, peers: map[string]*peer{}, inFlight: map[uint64]*proposal{},
+		leaderChanged: make(chan struct{}),
 	}
 	for _, m := range machines {
 		n.machines[m.Name()] = m
