aggregator: the load of an instance that changes its voter counts once

Cause: an instance that changed its voter was in the sums of both for up to 1.5 s. Change: the report says what the instance told the voter before, and for how long it still counts there; the new voter takes that out of its sum while it has the sum of the same run of the former one. Voters name their run (epoch) in what they send each other.

--- a/admitter/quotas_test.go
+++ b/admitter/quotas_test.go
@@ -62,7 +62,7 @@
 
 func (f *quotaFleet) startVoters() {
 	f.voters = []*aggregator.Store{aggregator.New(), aggregator.New()}
-	f.senders = []*aggregator.PeerSender{aggregator.NewPeerSender(), aggregator.NewPeerSender()}
+	f.senders = []*aggregator.PeerSender{aggregator.NewPeerSender(f.voters[0].Epoch()), aggregator.NewPeerSender(f.voters[1].Epoch())}
 }
 
 func (f *quotaFleet) restart(i int) {
--- a/aggregator/aggregator.go
+++ b/aggregator/aggregator.go
@@ -43,11 +43,14 @@
 	Instance figseam.InstanceID `cbor:"1,keyasint"`
 	Load     Load               `cbor:"2,keyasint"`
 	// Epoch and Revision are those of the last [Sum] that the instance received; 0 if it
-	// has none.
+	// has none. A voter's message has the epoch of its own sums.
 	Epoch    uint64 `cbor:"3,keyasint,omitempty"`
 	Revision uint64 `cbor:"4,keyasint,omitempty"`
 	// Sequence is the number of a voter's message; see [PeerSender].
 	Sequence uint64 `cbor:"5,keyasint,omitempty"`
+	// Earlier is the report of an instance to its voter before this one, while it still
+	// counts there; nil for none. Versions before 0.6 do not send it.
+	Earlier *EarlierReport `cbor:"6,keyasint,omitempty"`
 }
 
 // Sum is the load of all instances but one.
@@ -70,6 +73,7 @@
 	mu        sync.Mutex
 	instances map[figseam.InstanceID]receivedReport
 	voters    map[figseam.InstanceID]receivedSum
+	moves     map[figseam.InstanceID]movedReport
 	// local is the sum of instances, all that of instances and voters.
 	local       *Total
 	all         *Total
@@ -85,6 +89,7 @@
 // receivedSum is the sum of another voter, up to its message with the sequence number.
 type receivedSum struct {
 	total      *Total
+	epoch      uint64
 	sequence   uint64
 	receivedAt time.Time
 }
@@ -97,6 +102,7 @@
 func New() *Store {
 	return &Store{
 		instances: map[figseam.InstanceID]receivedReport{}, voters: map[figseam.InstanceID]receivedSum{},
+		moves: map[figseam.InstanceID]movedReport{},
 		local: newTotal(), all: newTotal(), changes: newChangeLog(),
 	}
 }
@@ -108,10 +114,10 @@
 	now := time.Now()
 	s.dropExpired(now)
 	r.Load.Instances = 1
+	s.recordMove(r.Instance, r.Earlier, now)
 	difference := subtract(r.Load, s.instances[r.Instance].load)
 	s.instances[r.Instance] = receivedReport{load: r.Load, receivedAt: now}
-	s.local.addTotal(difference)
-	s.applyDifference(difference)
+	s.applyLocal(difference)
 	return s.sumWithout(r)
 }
 
@@ -165,8 +171,9 @@
 	if old, ok := s.voters[r.Instance]; ok {
 		difference.subtract(old.total.load())
 	}
-	s.voters[r.Instance] = receivedSum{total: total, sequence: r.Sequence, receivedAt: time.Now()}
+	s.voters[r.Instance] = receivedSum{total: total, epoch: r.Epoch, sequence: r.Sequence, receivedAt: time.Now()}
 	s.applyDifference(difference)
+	s.updateMoves(r.Instance)
 }
 
 // MergePeerChanges adds the changes of another voter's sum. It ignores them if a message
@@ -175,11 +182,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.voters[r.Instance]
-	if !ok || old.sequence+1 != r.Sequence {
+	if !ok || old.epoch != r.Epoch || old.sequence+1 != r.Sequence {
 		return
 	}
 	old.total.add(r.Load)
-	s.voters[r.Instance] = receivedSum{total: old.total, sequence: r.Sequence, receivedAt: time.Now()}
+	s.voters[r.Instance] = receivedSum{total: old.total, epoch: r.Epoch, sequence: r.Sequence, receivedAt: time.Now()}
 	difference := newTotal()
 	difference.add(r.Load)
 	s.applyDifference(difference)
@@ -191,6 +198,9 @@
 	s.changes.record(difference.usage)
 }
 
+// Epoch identifies the run of the voter.
+func (s *Store) Epoch() uint64 { return s.changes.epoch }
+
 // LocalSum returns the sum of the instances that report to this voter.
 func (s *Store) LocalSum() Load {
 	s.mu.Lock()
@@ -216,9 +226,7 @@
 	s.nextSweepAt = now.Add(sweepIntervalMillis * time.Millisecond)
 	for id, r := range s.instances {
 		if expired(r.receivedAt, now) {
-			difference := subtract(Load{}, r.load)
-			s.local.addTotal(difference)
-			s.applyDifference(difference)
+			s.applyLocal(subtract(Load{}, r.load))
 			delete(s.instances, id)
 		}
 	}
@@ -226,8 +234,10 @@
 		if expired(r.receivedAt, now) {
 			s.applyDifference(subtract(Load{}, r.total.load()))
 			delete(s.voters, id)
+			s.updateMoves(id)
 		}
 	}
+	s.dropExpiredMoves(now)
 }
 
 // Total is a sum of loads, keyed by the hashes of endpoint IDs, service names and account
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -142,7 +142,8 @@
 func TestPeerSumsEqualAfterWholeSum(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rapid.Check(noDeadlineTB{t}, func(t *rapid.T) {
-			from, to, sender := aggregator.New(), aggregator.New(), aggregator.NewPeerSender()
+			from, to := aggregator.New(), aggregator.New()
+			sender := aggregator.NewPeerSender(from.Epoch())
 			inOrder, wantAt := false, time.Time{}
 			var want aggregator.Load
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
--- a/aggregator/peers.go
+++ b/aggregator/peers.go
@@ -13,13 +13,14 @@
 // PeerSender decides what a voter sends to the other voters. Messages may be lost, so each
 // has a sequence number. It must not be used concurrently.
 type PeerSender struct {
+	epoch       uint64
 	sent        *Total
 	sequence    uint64
 	nextWholeAt time.Time
 }
 
-// NewPeerSender returns a sender that has sent nothing yet.
-func NewPeerSender() *PeerSender { return &PeerSender{sent: newTotal()} }
+// NewPeerSender returns a sender of a store with the given epoch, which has sent nothing yet.
+func NewPeerSender(epoch uint64) *PeerSender { return &PeerSender{epoch: epoch, sent: newTotal()} }
 
 // Next returns the next message of a voter with the given sum, and reports whether it holds
 // only the changes since the message before. It returns false for send if there is nothing
@@ -33,7 +34,7 @@
 		return Report{}, changesOnly, false
 	}
 	p.sequence++
-	message = Report{Instance: voter, Load: sum, Sequence: p.sequence}
+	message = Report{Instance: voter, Load: sum, Epoch: p.epoch, Sequence: p.sequence}
 	if changesOnly {
 		message.Load = difference.load()
 	} else {
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -64,6 +64,8 @@
 	// lastSum is the state of the sums that this entry received last. It is used by
 	// exchangeLoad only.
 	lastSum sumRevision
+	// reports remembers what was reported to which voter. It is used by exchangeLoad only.
+	reports aggregator.ReportLog
 	// callerConns tracks the callers' connections.
 	callerConns busyConns
 	draining    atomic.Bool
@@ -240,7 +242,7 @@
 	report := exchangeReport{
 		Report: aggregator.Report{
 			Instance: e.settings.PeerID(), Load: aggregator.Load{Usage: slices.Concat(e.tracker.LocalUsage(), e.throttle.LocalUsage()), Demand: e.relayer.LocalDemand(), Accounts: e.quotas.LocalUsage()},
-			Epoch: e.lastSum.epoch, Revision: e.lastSum.revision,
+			Epoch: e.lastSum.epoch, Revision: e.lastSum.revision, Earlier: e.reports.Earlier(voter),
 		},
 		Evidence: e.evidence.Request(),
 	}
@@ -249,6 +251,7 @@
 		e.log.Debug().Err(err).Str("keeper", string(voter)).Msg("load exchange with voter failed")
 		return
 	}
+	e.reports.Record(voter, remote.Epoch, report.Load)
 	e.evidence.Complete(remote.Evidence)
 	e.relayer.SetRemoteDemand(remote.Demand)
 	e.quotas.SetRemoteUsage(remote.Accounts, remote.Instances)
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -91,7 +91,8 @@
 // handleLoads registers the handlers of the messages on load and quarantined prompt parts.
 func (v *Voter) handleLoads() {
 	v.pauses = throttler.New(v.settings.PeerID(), v.log)
-	v.loads, v.peerSender = aggregator.New(), aggregator.NewPeerSender()
+	v.loads = aggregator.New()
+	v.peerSender = aggregator.NewPeerSender(v.loads.Epoch())
 	v.quarantine = quarantiner.New(v.log)
 	v.evidence = quarantiner.NewBroadcaster(v.quarantine)
 	messenger.Handle(v.messenger, kindExchangeLoad, func(_ context.Context, _ figseam.InstanceID, r exchangeReport) (exchangeReply, error) {
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -53,7 +53,7 @@
 // startVoters starts two voters that know nothing.
 func (f *fleet) startVoters() {
 	f.voters = []*aggregator.Store{aggregator.New(), aggregator.New()}
-	f.senders = []*aggregator.PeerSender{aggregator.NewPeerSender(), aggregator.NewPeerSender()}
+	f.senders = []*aggregator.PeerSender{aggregator.NewPeerSender(f.voters[0].Epoch()), aggregator.NewPeerSender(f.voters[1].Epoch())}
 }
 
 // exchange has all instances and voters exchange their usage.
