throttler: few instances use the limit that others leave

Change: instances say for which limited endpoints they had requests lately; the remainder is divided by these. An instance whose requests begin still divides by all for 400 ms, and the highest number of the last 4 to 8 s counts, since voters that restart know few.

--- a/table.go
+++ b/table.go
@@ -187,6 +187,9 @@
 	// UnreachableFrom is the number of instances that recently failed to connect to the
 	// endpoint.
 	UnreachableFrom int `cbor:"5,keyasint,omitempty"`
+	// WantedFrom is the number of instances that had requests for the endpoint lately, if it
+	// names a limit.
+	WantedFrom int `cbor:"10,keyasint,omitempty"`
 }
 
 // Add returns the sum of two usages of an endpoint.
@@ -195,7 +198,7 @@
 		Endpoint: v.Endpoint, Requests: u.Requests + v.Requests, WorkMillis: u.WorkMillis + v.WorkMillis,
 		MemoryTokens: u.MemoryTokens + v.MemoryTokens, UnreachableFrom: u.UnreachableFrom + v.UnreachableFrom,
 		RecentRequests: u.RecentRequests + v.RecentRequests, LimitedFrom: u.LimitedFrom + v.LimitedFrom, LimitMillis: u.LimitMillis + v.LimitMillis,
-		UnlimitedFrom: u.UnlimitedFrom + v.UnlimitedFrom,
+		UnlimitedFrom: u.UnlimitedFrom + v.UnlimitedFrom, WantedFrom: u.WantedFrom + v.WantedFrom,
 	}
 }
 
@@ -205,7 +208,7 @@
 		Endpoint: u.Endpoint, Requests: -u.Requests, WorkMillis: -u.WorkMillis,
 		MemoryTokens: -u.MemoryTokens, UnreachableFrom: -u.UnreachableFrom,
 		RecentRequests: -u.RecentRequests, LimitedFrom: -u.LimitedFrom, LimitMillis: -u.LimitMillis,
-		UnlimitedFrom: -u.UnlimitedFrom,
+		UnlimitedFrom: -u.UnlimitedFrom, WantedFrom: -u.WantedFrom,
 	}
 }
 
--- a/throttler/throttle.go
+++ b/throttler/throttle.go
@@ -43,6 +43,7 @@
 // limitedEndpoint is an endpoint that named a limit.
 type limitedEndpoint struct {
 	endpointState
+	sharing
 	// id is empty as long as only other instances know the endpoint.
 	id string
 	// remote is the usage by other instances.
@@ -127,6 +128,7 @@
 		return true
 	}
 	now := time.Now()
+	l.recordWanted(now)
 	inSlot := l.sentSince(t.began.Add(time.Duration(t.slot(now)) * slotMillis * time.Millisecond))
 	if now.Sub(t.remoteAt) > maxRemoteAgeMillis*time.Millisecond {
 		// Without the counts of the others each instance uses an equal part, by chance.
@@ -134,7 +136,7 @@
 	}
 	allowed := l.perSecond * l.window().Seconds()
 	remainder := allowed - float64(l.sentSince(now.Add(-l.window()))+l.remote.RecentRequests)
-	share := remainder / float64(t.instances)
+	share := remainder / float64(l.sharers(t.instances, now))
 	return remainder >= min(1, allowed) && t.draw(l.id, now) < share && float64(inSlot+1) <= max(1, share)
 }
 
@@ -167,7 +169,11 @@
 		if l.id == "" {
 			continue
 		}
-		if u := l.usage(l.id, now); u != (figseam.EndpointUsage{Endpoint: u.Endpoint}) {
+		u := l.usage(l.id, now)
+		if l.wanted(now) {
+			u.WantedFrom = 1
+		}
+		if u != (figseam.EndpointUsage{Endpoint: u.Endpoint}) {
 			usage = append(usage, u)
 		}
 	}
@@ -203,6 +209,7 @@
 	}
 	for _, l := range t.endpoints {
 		l.mergeRemote(l.remote)
+		l.recordOthers(l.remote.WantedFrom, t.remoteAt)
 	}
 }
 
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -195,6 +195,26 @@
 	})
 }
 
+// TestInstancesThatBeginTogetherKeepLimit guards against a burst when few instances used little
+// of a limit and all have callers at once: none knows how many begin with it.
+func TestInstancesThatBeginTogetherKeepLimit(t *testing.T) {
+	for seed := range uint64(5) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const perSecond = 10
+				f, random := newFleet(195, perSecond), rand.New(rand.NewPCG(seed, 1))
+				f.run(random, 5, 100, 5)
+				settled := time.Now()
+				for range 3 {
+					f.run(random, 10, 2, 5)
+					f.run(random, 10, 2000, 195)
+				}
+				require.LessOrEqual(t, f.busiest(settled), int(1.5*spanSeconds*perSecond+5))
+			})
+		})
+	}
+}
+
 // TestRestartedVotersDoNotRenewLimit guards against a burst after all voters restarted: until
 // all instances have reported to them, their sums lack most of the requests.
 func TestRestartedVotersDoNotRenewLimit(t *testing.T) {
