--- a/admitter/bucket.go
+++ b/admitter/bucket.go
@@ -21,14 +21,14 @@
 	// membershipMillis is the time for which instances that no longer report still count, at
 	// least: they may be cut off and serve callers of the same accounts.
 	membershipMillis = 30_000
-	// lastingMillis is the time for which a higher number of instances must last before it
-	// counts: longer than reports to two voters, one after the other, take to expire.
-	lastingMillis = 4000
+	// sustainedMillis is the time for which a higher number of instances must be seen before
+	// it counts: longer than reports to two voters, one after the other, take to expire.
+	sustainedMillis = 4000
 )
 
-// Tolerance is what the quotas of a deployment may be exceeded by within a window: a share of
-// what a quota allows in it, and an amount in the quota's unit. An account may use a part of it
-// while nobody waits for the same engines.
+// Tolerance states by how much an account may exceed its quota within a window: by a share of
+// what the quota allows in the window, plus an amount in the quota's unit. An account may use a
+// part of the tolerance while no other requests wait for the same engines.
 type Tolerance struct {
 	WindowSeconds float64
 	Share         float64
@@ -53,8 +53,8 @@
 type accountBucket struct {
 	name  figseam.Account
 	quota figseam.AccountQuota
-	// strict is what is left of the quota, tolerated what is left with the tolerance, which
-	// grows by toleratedPerSecond.
+	// strict is the level of the bucket without the tolerance; it grows at the quota's rate.
+	// tolerated is the level with the tolerance; it grows by toleratedPerSecond.
 	strict             float64
 	tolerated          float64
 	toleratedPerSecond float64
@@ -121,8 +121,8 @@
 	b.strict, b.tolerated = max(b.strict, level), max(b.tolerated, level)
 }
 
-// memberCount remembers the highest number of instances that lasted, for one to two times
-// membershipMillis. An instance that changes its voter counts twice until its report to the one
+// memberCount remembers the highest number of instances that was sustained, for one to two
+// times membershipMillis. An instance that changes its voter counts twice until its report to the one
 // before has expired.
 type memberCount struct {
 	current, previous int
@@ -141,7 +141,7 @@
 		m.rising, m.risingFrom = n, now
 	default:
 		m.rising = min(m.rising, n)
-		if now.Sub(m.risingFrom) >= lastingMillis*time.Millisecond {
+		if now.Sub(m.risingFrom) >= sustainedMillis*time.Millisecond {
 			m.current, m.risingFrom = m.rising, time.Time{}
 		}
 	}
--- a/admitter/quotas_test.go
+++ b/admitter/quotas_test.go
@@ -153,8 +153,8 @@
 	return admitted, refused
 }
 
-// allowedInWindow is what the rules of a deployment allow with an allowance of 190,000 tokens
-// and a tenth of the quota.
+// allowedInWindow is the highest number of tokens that may be admitted in a window: what the
+// quota allows, a tenth more, and the allowance.
 const allowedInWindow = (perSecond*windowSeconds+burst)*11/10 + allowance
 
 // TestQuotaHoldsOverAllInstances guards against an account that gets more than its quota and
--- a/aggregator/aggregator_test.go
+++ b/aggregator/aggregator_test.go
@@ -75,7 +75,7 @@
 	return tokens
 }
 
-// view is what an instance knows of the others.
+// view holds the usage of the other instances, as an instance has received it.
 type view struct {
 	epoch, revision uint64
 	tokens          map[uint32]int
--- a/aggregator/moves.go
+++ b/aggregator/moves.go
@@ -13,7 +13,7 @@
 // Load pattern: voters that stop or are cut off while engines are nearly full, so that load
 // that is counted twice leads to refusals.
 
-// EarlierReport is what an instance reported to its voter before this one.
+// EarlierReport is the last report of an instance to its previous voter.
 type EarlierReport struct {
 	Voter figseam.InstanceID `cbor:"1,keyasint"`
 	// Epoch is that of the voter's last [Sum].
--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -21,7 +21,7 @@
 // newID returns the id of a new client attempt.
 func newID() string { return "c" + strconv.FormatInt(lastID.Add(1), 10) }
 
-// result is what a client saw.
+// result is the outcome of a request as its client observed it.
 type result struct {
 	id       string
 	status   int
