--- a/review/rig/heads.go
+++ b/review/rig/heads.go
@@ -120,29 +120,8 @@
 	}
 	time.Sleep(calmTime)
 	close(stop)
-	cut, ok := 0, 0
-	for _, o := range <-orders {
-		if o.got.status == http.StatusOK {
-			ok++
-			continue
-		}
-		cut++
-		r.note("client sent order %s at %.3f s: answer %d %v", o.id, o.sentAt.Sub(r.began).Seconds(), o.got.status, o.got.err)
-	}
-	r.note("orders at the other service: %d answered with 200, %d not", ok, cut)
-	machines := 0
-	for _, s := range all {
-		s.mu.Lock()
-		r.note("front-%d was killed %d times for using more than %d MB; the most it used was %d KB", s.index, s.kills, entryMemoryMB, s.peak)
-		if s.kills >= troubles {
-			machines++
-		}
-		s.mu.Unlock()
-	}
-	if machines >= 2 {
-		return exitBroken, nil
-	}
-	return exitHeld, nil
+	r.noteOrders(<-orders)
+	return r.judgeKills(all, troubles), nil
 }
 
 // endlessHead returns the first part of a head of short fields.
