--- a/review/rig/servers.go
+++ b/review/rig/servers.go
@@ -86,6 +86,8 @@
 	signed bool
 	body   string
 	err    error
+	// retryAfter is the time after which the client may come back; 0 if the answer names none.
+	retryAfter time.Duration
 }
 
 // send sends a request on a new channel and reads the answer.
