--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -53,6 +53,8 @@
 	mu        sync.Mutex
 	processes []*exec.Cmd
 	listed    []map[string]any
+	// entryChanges are the settings of entries that differ from those of the template.
+	entryChanges map[string]any
 	// ended is set once the result is recorded.
 	ended bool
 	// torn is written into the list behind the first entry, as it is; empty for nothing.
@@ -238,7 +240,7 @@
 	}
 	var all []*exec.Cmd
 	for i := range entries {
-		cmd, err := r.startProcess("entry", r.settings("entry", entryHosts+i, fmt.Sprintf("front-%d", i), zones[i%len(zones)], nil))
+		cmd, err := r.startProcess("entry", r.settings("entry", entryHosts+i, fmt.Sprintf("front-%d", i), zones[i%len(zones)], r.entryChanges))
 		if err != nil {
 			return nil, err
 		}
