--- a/review/rig/bodies.go
+++ b/review/rig/bodies.go
@@ -18,7 +18,7 @@
 	// crowdUploads is the number of clients that send bodies at the same time, calmUploads that
 	// on a calm day.
 	crowdUploads = 300
-	calmUploads  = 120
+	calmUploads  = 131
 	// bodyBytes is the length of a body, the largest of the site's requests; max_body_bytes is
 	// 4,194,304. It comes in pieces of pieceBytes, pieceGap apart.
 	bodyBytes  = 100_000
--- a/review/rig/places.go
+++ b/review/rig/places.go
@@ -23,7 +23,7 @@
 	// neededDescriptors is the number of descriptors that the stand-ins need.
 	neededDescriptors = 3000
 	// calmCallers is the number of clients on a calm day, burstCallers that in a burst.
-	calmCallers  = 520
+	calmCallers  = 566
 	burstCallers = 1300
 	burstTime    = 10 * time.Second
 	// reconnectPause is the time after which a client opens another channel.
