connector: a transport for net/http's client, so that all answers have one reader

Cause: answers are read in two ways. The relayer and calls to plain services use the connector; the engine client of named objects, the voters' queries and orders, both lists, the handshake of peers and figctl use the transport of net/http. What counts as a complete and well-formed answer would have to be decided twice, and net/http's transport sends some requests a second time on its own when a kept connection breaks.

Change: connector.Transport is a RoundTripper over a Connector, with or without kept connections, TLS for https and the switch of protocols that WebSocket needs.

Ruled out: checks in each caller around net/http's transport. They would be easy to forget, and do not see how a connection ended.

No behaviour towards callers is meant to change here.

--- a/cmd/figctl/client/client.go
+++ b/cmd/figctl/client/client.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/gateway"
 	"github.com/figseam/figseam/publisher"
 )
@@ -29,7 +30,8 @@
 
 // New returns a client for an instance's operator address, which is HOST:PORT.
 func New(address string) *Client {
-	return &Client{address: "http://" + address, http: http.Client{Timeout: requestTimeoutMillis * time.Millisecond}}
+	transport := connector.NewTransport(connector.TransportSettings{DialTimeoutMillis: requestTimeoutMillis})
+	return &Client{address: "http://" + address, http: http.Client{Timeout: requestTimeoutMillis * time.Millisecond, Transport: transport}}
 }
 
 // RefusedError is a response with a status other than 200.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -81,14 +81,18 @@
 	// SelfDelimiting reports whether the body has a length or is chunked, so that its
 	// end can be distinguished from a broken connection.
 	SelfDelimiting bool
-	body           io.ReadCloser
-	bodyComplete   bool
-	exchange       *exchange
+	// contentLength is the length of the body that the header states, or -1.
+	contentLength int64
+	body          io.ReadCloser
+	bodyComplete  bool
+	exchange      *exchange
 }
 
 // Connector keeps connections to endpoints for reuse. It is safe for concurrent use.
 type Connector struct {
-	dial DialFunc
+	dial              DialFunc
+	dialTimeoutMillis int64
+	maxIdlePerAddress int
 
 	// mu guards everything below.
 	mu     sync.Mutex
@@ -123,7 +127,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Connector{dial: dial, idle: map[idleKey][]*conn{}}
+	return &Connector{dial: dial, dialTimeoutMillis: dialTimeoutMillis, maxIdlePerAddress: maxIdlePerAddress, idle: map[idleKey][]*conn{}}
 }
 
 // OpenedConnections returns the number of connections opened so far.
@@ -160,7 +164,7 @@
 		x.conn = k
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeoutMillis*time.Millisecond)
+	ctx, cancel := x.connector.withDialTimeout(ctx)
 	defer cancel()
 	raw, err := x.connector.dial(ctx, "tcp", x.request.Address)
 	if err != nil {
@@ -173,10 +177,15 @@
 	return nil
 }
 
+// withDialTimeout returns a context that ends with the time to open a connection.
+func (c *Connector) withDialTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, time.Duration(c.dialTimeoutMillis)*time.Millisecond)
+}
+
 // Refuses reports whether an address refuses new connections. An address that does not
 // respond within the dial timeout does not count as refusing them.
 func (c *Connector) Refuses(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeoutMillis*time.Millisecond)
+	ctx, cancel := c.withDialTimeout(ctx)
 	defer cancel()
 	probe, err := c.dial(ctx, "tcp", address)
 	if err != nil {
@@ -277,14 +286,16 @@
 }
 
 func (x *exchange) readHeader() (*Response, error) {
-	h, err := x.conn.readResponse(&http.Request{Method: x.request.Method}, x.request.ObserveHead)
+	h, err := x.conn.readResponse(&http.Request{Method: x.request.Method, Header: x.request.Header}, x.request.ObserveHead)
 	if err != nil {
 		return nil, err
 	}
 	selfDelimiting := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
 	x.reusable = selfDelimiting && !h.Close
 	x.keepAlive = h.Header.Get("Keep-Alive")
-	return &Response{Status: h.StatusCode, Header: h.Header, SelfDelimiting: selfDelimiting, body: h.Body, exchange: x}, nil
+	return &Response{
+		Status: h.StatusCode, Header: h.Header, SelfDelimiting: selfDelimiting, contentLength: h.ContentLength, body: h.Body, exchange: x,
+	}, nil
 }
 
 // idleTimeout returns the longest time for which a connection may be idle and still be
@@ -348,7 +359,7 @@
 func (c *Connector) pushIdle(key idleKey, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[key]) >= maxIdlePerAddress {
+	if len(c.idle[key]) >= c.maxIdlePerAddress {
 		_ = k.Close()
 		return
 	}
--- a/connector/doc.go
+++ b/connector/doc.go
@@ -6,4 +6,7 @@
 // decide whether a second run is harmless. An error states whether any byte may have been
 // sent. A response is accepted only if it repeats the ID of the request, and a connection
 // with bytes that belong to no request is closed.
+//
+// It is the only reader of answers over HTTP: [Connector] is for requests whose answers repeat
+// an ID, [Transport] for callers that use the client of net/http.
 package connector
--- a/connector/hostile_test.go
+++ b/connector/hostile_test.go
@@ -19,6 +19,18 @@
 	return l
 }
 
+// serve starts a server on a loopback address, which it returns.
+func serve(t *testing.T, s *emulator.ScriptedServer) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ended := s.Serve(l)
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-ended
+	})
+	return l.Addr().String()
+}
+
 // TestEndlessHeadIsRejected guards against servers whose head never ends: reading it would
 // use up the memory of the instance.
 func TestEndlessHeadIsRejected(t *testing.T) {
--- a/connector/network.go
+++ b/connector/network.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"syscall"
-	"time"
 )
 
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which bounds the time that sent
@@ -12,7 +11,6 @@
 const tcpUserTimeout = 0x12
 
 var tcpDialer = net.Dialer{
-	Timeout:   dialTimeoutMillis * time.Millisecond,
 	KeepAlive: -1,
 	Control: func(_, _ string, raw syscall.RawConn) error {
 		return raw.Control(func(fd uintptr) {
--- a/connector/reading.go
+++ b/connector/reading.go
@@ -34,12 +34,17 @@
 		if observe != nil {
 			observe(response.StatusCode, response.Header)
 		}
-		if response.StatusCode >= http.StatusOK {
+		if response.StatusCode >= http.StatusOK || isUpgrade(response.StatusCode, request) {
 			return response, nil
 		}
 	}
 }
 
+// isUpgrade reports whether a status ends the use of HTTP on the connection, as the request asked.
+func isUpgrade(status int, request *http.Request) bool {
+	return status == http.StatusSwitchingProtocols && request.Header.Get("Upgrade") != ""
+}
+
 // ReadResponse reads the response to a request from a connection that carries no other
 // request. It skips interim responses, and returns [limiter.ErrHeadTooLarge] if the head is
 // too long.
--- /dev/null
+++ b/emulator/scripted.go
@@ -0,0 +1,136 @@
+package emulator
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// ConnectionEnd is what a [ScriptedServer] does with a connection after an answer.
+type ConnectionEnd int
+
+// Ends of a connection.
+const (
+	// KeepOpen waits for the next request.
+	KeepOpen ConnectionEnd = iota
+	// CloseOrderly closes the sending side and reads on until the client closes.
+	CloseOrderly
+	// Reset resets the connection.
+	Reset
+)
+
+// ScriptedAnswer is the answer of a [ScriptedServer] to one request.
+type ScriptedAnswer struct {
+	// Text is sent as it is.
+	Text string
+	End  ConnectionEnd
+	// Early has the answer sent once the head of the request has been read. The body stays
+	// unread unless the end is CloseOrderly.
+	Early bool
+}
+
+// ScriptedServer answers requests with given bytes. It emulates endpoints whose answers are no
+// HTTP, or incomplete. Its methods are safe for concurrent use.
+type ScriptedServer struct {
+	// Answer returns the answer to a request. conn is the number of the connection, from 0.
+	Answer func(conn int, r *http.Request) ScriptedAnswer
+
+	// mu guards the fields below.
+	mu       sync.Mutex
+	conns    []net.Conn
+	requests []string
+}
+
+// Requests returns method and target of the requests so far.
+func (s *ScriptedServer) Requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.requests...)
+}
+
+// Connections returns the number of connections so far.
+func (s *ScriptedServer) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// Serve serves a listener until it is closed, and then closes the connections. The returned
+// channel is closed after that.
+func (s *ScriptedServer) Serve(l net.Listener) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		var serving sync.WaitGroup
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				break
+			}
+			s.mu.Lock()
+			index := len(s.conns)
+			s.conns = append(s.conns, c)
+			s.mu.Unlock()
+			serving.Go(func() { s.serveConn(index, c) })
+		}
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		serving.Wait()
+	}()
+	return ended
+}
+
+// serveConn serves one connection until an answer or the client ends it.
+func (s *ScriptedServer) serveConn(index int, c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.requests = append(s.requests, r.Method+" "+r.RequestURI)
+		s.mu.Unlock()
+		answer := s.Answer(index, r)
+		if !answer.Early {
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+		}
+		if _, err := io.WriteString(c, answer.Text); err != nil {
+			return
+		}
+		switch answer.End {
+		case CloseOrderly:
+			closeSending(c)
+			_, _ = io.Copy(io.Discard, reader)
+			return
+		case Reset:
+			reset(c)
+			return
+		}
+	}
+}
+
+// closeSending closes the sending side of a TCP connection, or the whole of any other.
+func closeSending(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+		return
+	}
+	_ = c.Close()
+}
+
+// reset resets a TCP connection, or closes any other.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,7 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/figseam/figseam"
-	"github.com/figseam/figseam/limiter"
+	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/recoverer"
 )
 
@@ -52,7 +52,8 @@
 	}
 	baseCtx, cancelBase := context.WithCancel(context.Background())
 	return &Messenger{
-		self: self, client: &http.Client{Transport: &http.Transport{DialContext: dial, MaxResponseHeaderBytes: limiter.MaxHeadBytes}}, log: log,
+		self: self, log: log,
+		client:      &http.Client{Transport: connector.NewTransport(connector.TransportSettings{Dial: connector.DialFunc(dial), DialTimeoutMillis: dialTimeoutMillis})},
 		sentTraffic: newTrafficCounter(), baseCtx: baseCtx, cancelBase: cancelBase,
 		handlers: map[string]rawHandler{}, peers: map[string]*peer{},
 	}
--- a/runner/assembly.go
+++ b/runner/assembly.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/admitter"
 	"github.com/figseam/figseam/canceller"
+	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/deduplicator"
 	"github.com/figseam/figseam/detector"
 	"github.com/figseam/figseam/dialer"
@@ -20,7 +20,6 @@
 	"github.com/figseam/figseam/forwarder"
 	"github.com/figseam/figseam/gateway"
 	"github.com/figseam/figseam/journaler"
-	"github.com/figseam/figseam/limiter"
 	"github.com/figseam/figseam/loader"
 	"github.com/figseam/figseam/messenger"
 	"github.com/figseam/figseam/meter"
@@ -87,11 +86,9 @@
 // assemble creates the components of the instance, connects them and registers the
 // handlers of messages from other instances.
 func (i *Instance) assemble(options Options) {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: engineDialTimeoutMillis * time.Millisecond}).DialContext,
-		MaxIdleConnsPerHost:    maxIdleConnsPerEngine,
-		MaxResponseHeaderBytes: limiter.MaxHeadBytes,
-	}}
+	client := &http.Client{Transport: connector.NewTransport(connector.TransportSettings{
+		DialTimeoutMillis: engineDialTimeoutMillis, MaxIdlePerAddress: maxIdleConnsPerEngine,
+	})}
 	engineDialer := dialer.New(client)
 	i.quarantine = quarantiner.New(i.log)
 	proposer := replicator.NewClient(i.node, logTransport{i.peers}, i.voters)
