connector: a reset during the upload does not complete an answer without a length

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection; the caller got the part as a complete answer (calls), or a stream that ended as complete after its first events.

Cause: a body without a length ends with its connection, and an orderly end is a read of zero bytes. The upload is written by another goroutine. When the peer resets, the kernel reports ECONNRESET once, to the read or to the write, whichever comes first. If the write took it, the read ended as after an orderly close, and the result of the write was looked at only to decide whether the connection is kept.

Change: at the end of such a body the connector ends the write by its deadline, awaits its result and returns io.EOF only if the write shows no broken connection. It works since Linux reports ECONNRESET for a reset of an open connection, but EPIPE if the peer had closed its sending side before: then all bytes up to the orderly end have been read. So a whole answer that comes early and ends with its connection is still relayed, as are answers with a length or in chunks that are followed by a reset. Other errors of the write, such as ETIMEDOUT, count as a broken connection (RFC 9112, section 8).

Calls to plain services were right before: they write the request first and return the error of the write; dialer TestResetDuringUploadIsNoAnswer keeps that.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -291,6 +293,9 @@
 		return nil, err
 	}
 	selfDelimiting := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
+	if !selfDelimiting {
+		h.Body = &closeDelimitedBody{ReadCloser: h.Body, checkEnd: x.checkEnd}
+	}
 	x.reusable = selfDelimiting && !h.Close
 	x.keepAlive = h.Header.Get("Keep-Alive")
 	return &Response{
@@ -314,8 +319,24 @@
 	return defaultIdleTimeoutMillis * time.Millisecond
 }
 
-// Read reads the body. io.EOF means that the body is complete as far as its framing
-// shows; see [Response.SelfDelimiting].
+// checkEnd returns an error unless the end of the connection, as reads show it, is an orderly one.
+// If the peer resets the connection during an upload, the kernel reports the error once: to a read
+// or to the write. After the write has taken it, a read ends as if the peer had closed. The write
+// is therefore ended and its result awaited. EPIPE follows a reset only if the peer had closed its
+// sending side before.
+func (x *exchange) checkEnd() error {
+	_ = x.conn.SetWriteDeadline(time.Unix(1, 0))
+	err := <-x.writeResult
+	x.writeResult <- err
+	switch {
+	case err == nil, errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, syscall.EPIPE), errors.Is(err, io.ErrClosedPipe):
+		return nil
+	}
+	return fmt.Errorf("%w: connection broke during the upload: %w", io.ErrUnexpectedEOF, err)
+}
+
+// Read reads the body. It returns io.EOF only if the body is complete: by its length, by its last
+// chunk, or, without either, by an orderly end of the connection.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
 	r.bodyComplete = r.bodyComplete || errors.Is(err, io.EOF)
--- a/connector/hostile_test.go
+++ b/connector/hostile_test.go
@@ -21,14 +21,10 @@
 
 // serve starts a server on a loopback address, which it returns.
 func serve(t *testing.T, s *emulator.ScriptedServer) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, stop, err := s.Start()
 	require.NoError(t, err)
-	ended := s.Serve(l)
-	t.Cleanup(func() {
-		_ = l.Close()
-		<-ended
-	})
-	return l.Addr().String()
+	t.Cleanup(stop)
+	return address
 }
 
 // TestEndlessHeadIsRejected guards against servers whose head never ends: reading it would
--- a/dialer/call_test.go
+++ b/dialer/call_test.go
@@ -40,3 +40,27 @@
 		require.ErrorIs(t, callHostile(t, emulator.HostileServer{Prefix: "HTTP/1.1 200 OK\r\n\r\n", Repeated: "x"}), dialer.ErrResponseTooLarge)
 	})
 }
+
+// TestResetDuringUploadIsNoAnswer guards against a part of a service's response that is taken for
+// the whole since the service reset the connection during the upload.
+func TestResetDuringUploadIsNoAnswer(t *testing.T) {
+	server := &emulator.ScriptedServer{Answer: func(int, *http.Request) emulator.ScriptedAnswer {
+		return emulator.ScriptedAnswer{Text: "HTTP/1.1 200 OK\r\n\r\npart", Early: true, End: emulator.Reset}
+	}}
+	address := serve(t, server)
+	for range 20 {
+		c, err := dialer.Connect(t.Context(), figseam.Endpoint{Name: "s", Address: "http://" + address})
+		require.NoError(t, err)
+		_, err = c.Do(t.Context(), dialer.ServiceCall{Method: http.MethodPost, Path: "/x", Header: http.Header{}, Body: make([]byte, 4<<20)})
+		require.Error(t, err)
+		require.NoError(t, c.Close())
+	}
+}
+
+// serve starts a server on a loopback address, which it returns.
+func serve(t *testing.T, s *emulator.ScriptedServer) string {
+	address, stop, err := s.Start()
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	return address
+}
--- a/emulator/scripted.go
+++ b/emulator/scripted.go
@@ -57,32 +57,49 @@
 	return len(s.conns)
 }
 
-// Serve serves a listener until it is closed, and then closes the connections. The returned
-// channel is closed after that.
-func (s *ScriptedServer) Serve(l net.Listener) <-chan struct{} {
+// Start starts the server on a loopback address, which it returns. stop closes the listener and all
+// connections and waits for their end.
+func (s *ScriptedServer) Start() (address string, stop func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		var serving sync.WaitGroup
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				break
-			}
-			s.mu.Lock()
-			index := len(s.conns)
-			s.conns = append(s.conns, c)
-			s.mu.Unlock()
-			serving.Go(func() { s.serveConn(index, c) })
+		s.serve(l)
+	}()
+	stop = func() {
+		_ = l.Close()
+		<-ended
+	}
+	return l.Addr().String(), stop, nil
+}
+
+// serve serves a listener until it is closed, and then closes the connections.
+func (s *ScriptedServer) serve(l net.Listener) {
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	defer s.closeConns()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
 		}
 		s.mu.Lock()
-		for _, c := range s.conns {
-			_ = c.Close()
-		}
+		index := len(s.conns)
+		s.conns = append(s.conns, c)
 		s.mu.Unlock()
-		serving.Wait()
-	}()
-	return ended
+		serving.Go(func() { s.serveConn(index, c) })
+	}
+}
+
+func (s *ScriptedServer) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		_ = c.Close()
+	}
 }
 
 // serveConn serves one connection until an answer or the client ends it.
