connector: a status that is none of HTTP is no answer

Callers saw: an engine in trouble sent an answer whose status was 000. If its body looked like an answer, the caller got that as the engine's answer (calls, streams, resumed streams); otherwise the request was held until its deadline and ended with 504. A status of 600 or more was passed on as it was. Named objects and voters: 000 was waited out in the same way; a 6xx counted as an order that the engine rejected.

Cause: net/http's parser takes any three characters that are a number from 0 on, also "-00". The connector took everything below 200 for an interim response, skipped its head and read the body as the next head. 101 without a request to switch protocols was skipped, too.

Change: readResponse returns ErrMalformed for a status outside 100 to 599 (RFC 9110, section 15) and for a 101 that was not asked for. The request may have run, so it is refused with 502, as one whose connection broke; the reason code is answer_malformed, which is new, and it is retried as before: at the same engine once, and at another endpoint where that is allowed.

--- a/connector/fuzz_test.go
+++ b/connector/fuzz_test.go
@@ -24,11 +24,13 @@
 	return n, err
 }
 
-// FuzzReadResponse checks that a head is bounded and that no interim response is returned.
+// FuzzReadResponse checks that a head is bounded, and that no interim response and no status that
+// is none of HTTP is returned.
 func FuzzReadResponse(f *testing.F) {
 	f.Add("HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 1)
 	f.Add("HTTP/1.1 103 E\r\nLink: x\r\n\r\n", "", 5000)
 	f.Add("Name: value\r\n", "", 9000)
+	f.Add("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", "", 1)
 	f.Fuzz(func(t *testing.T, repeated, rest string, times int) {
 		if times < 0 || times*len(repeated) > 1<<20 {
 			return
@@ -38,6 +40,7 @@
 		require.LessOrEqual(t, source.read, limiter.MaxHeadBytes)
 		if err == nil {
 			require.GreaterOrEqual(t, r.StatusCode, http.StatusOK)
+			require.Less(t, r.StatusCode, 600)
 		}
 	})
 }
--- /dev/null
+++ b/emulator/malformed.go
@@ -0,0 +1,59 @@
+package emulator
+
+import (
+	"fmt"
+	"slices"
+)
+
+// MalformedAnswer is an answer that is not complete or not well-formed.
+type MalformedAnswer struct {
+	Name string
+	ScriptedAnswer
+}
+
+// framing returns the fields and the body of an answer in one of the three ways to delimit a body.
+type framing struct {
+	name  string
+	frame func(body string) (fields, framed string)
+	// end is what happens to the connection after the answer.
+	end ConnectionEnd
+}
+
+var framings = []framing{
+	{"length", func(body string) (string, string) { return fmt.Sprintf("Content-Length: %d\r\n", len(body)), body }, KeepOpen},
+	{"chunked", func(body string) (string, string) {
+		return "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	}, KeepOpen},
+	{"neither", func(body string) (string, string) { return "", body }, CloseOrderly},
+}
+
+// MalformedAnswers returns answers that no client may take for one of the endpoint. Apart from
+// its fault each is a success with the given fields, lines that end with CRLF, and the body.
+func MalformedAnswers(fields, body string) []MalformedAnswer {
+	return slices.Concat(badStatusAnswers(fields, body))
+}
+
+// badStatusAnswers returns answers whose status is none of HTTP.
+func badStatusAnswers(fields, body string) []MalformedAnswer {
+	var all []MalformedAnswer
+	for _, status := range []string{"000", "099", "-00", "+20", "101", "600", "999"} {
+		for _, f := range framings {
+			framingFields, framed := f.frame(body)
+			if status == "101" {
+				// The client of a peer reads on after a switch of protocols.
+				f.end = CloseOrderly
+			}
+			all = append(all, MalformedAnswer{
+				Name:           "status " + status + ", " + f.name,
+				ScriptedAnswer: ScriptedAnswer{Text: "HTTP/1.1 " + status + " OK\r\n" + fields + framingFields + "\r\n" + framed, End: f.end},
+			})
+		}
+	}
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
+	return append(all, MalformedAnswer{
+		Name: "status 000, the body looks like an answer",
+		ScriptedAnswer: ScriptedAnswer{
+			Text: fmt.Sprintf("HTTP/1.1 000 OK\r\n%sContent-Length: %d\r\n\r\n%s", fields, len(whole), whole),
+		},
+	})
+}
--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -67,6 +67,7 @@
 	ConnectionLost         figseam.Code = "connection_broken"
 	ResponseMismatch       figseam.Code = "answer_foreign"
 	InvalidResponse        figseam.Code = "answer_spoiled"
+	MalformedResponse      figseam.Code = "answer_malformed"
 	PrefillFailed          figseam.Code = "prefill_failed"
 	HeadTooLarge           figseam.Code = "head_over_limit"
 	EventTooLarge          figseam.Code = "event_over_limit"
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -373,6 +373,13 @@
 		Action:      "Look at the endpoint.",
 		Since:       "0.2",
 	},
+	{
+		Code:        "answer_malformed",
+		Title:       "Answer is no well-formed HTTP",
+		Description: "The status or a field of the answer, or the way in which its body is delimited, is not as RFC 9112 requires. The request may have run.",
+		Action:      "Look at the endpoint, and at proxies before it.",
+		Since:       "0.6",
+	},
 	{
 		Code:        "prefill_failed",
 		Title:       "Prefill failed",
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -61,6 +61,8 @@
 		return explainer.EndpointPaused
 	case errors.Is(err, connector.ErrNotSent):
 		return explainer.ConnectFailed
+	case errors.Is(err, connector.ErrMalformed):
+		return explainer.MalformedResponse
 	case errors.Is(err, connector.ErrMismatchedResponse), errors.Is(err, errReservationRepeated):
 		return explainer.ResponseMismatch
 	case errors.Is(err, limiter.ErrHeadTooLarge):
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -61,7 +61,7 @@
 			return silent, refusal
 		}
 		code = t.decode(ctx, p, source)
-		if code == explainer.ConnectionLost && !t.quarantined() && t.tryAcquireResume(p) {
+		if brokenOff(code) && !t.quarantined() && t.tryAcquireResume(p) {
 			if code = t.resume(ctx, p); unsent(code) {
 				code = explainer.ConnectionLost
 			}
@@ -103,6 +103,12 @@
 	return silent, code
 }
 
+// brokenOff reports whether the answer of an engine broke off or could not be read, so that the
+// engine may still have the prompt cached.
+func brokenOff(code figseam.Code) bool {
+	return code == explainer.ConnectionLost || code == explainer.MalformedResponse
+}
+
 // checkWaited returns the reason why a request that has waited must not be sent; empty if it
 // may be.
 func (t *task) checkWaited() figseam.Code {
--- a/runner/assembly.go
+++ b/runner/assembly.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -12,7 +11,6 @@
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/admitter"
 	"github.com/figseam/figseam/canceller"
-	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/deduplicator"
 	"github.com/figseam/figseam/detector"
 	"github.com/figseam/figseam/dialer"
@@ -86,9 +84,7 @@
 // assemble creates the components of the instance, connects them and registers the
 // handlers of messages from other instances.
 func (i *Instance) assemble(options Options) {
-	client := &http.Client{Transport: connector.NewTransport(connector.TransportSettings{
-		DialTimeoutMillis: engineDialTimeoutMillis, MaxIdlePerAddress: maxIdleConnsPerEngine,
-	})}
+	client := newModelEngineClient()
 	engineDialer := dialer.New(client)
 	i.quarantine = quarantiner.New(i.log)
 	proposer := replicator.NewClient(i.node, logTransport{i.peers}, i.voters)
--- a/runner/clients.go
+++ b/runner/clients.go
@@ -9,6 +9,13 @@
 // listDialTimeoutMillis limits the time to open a connection to the platform.
 const listDialTimeoutMillis = 500
 
+// newModelEngineClient returns a client for the engines of named objects and for their list.
+func newModelEngineClient() *http.Client {
+	return &http.Client{Transport: connector.NewTransport(connector.TransportSettings{
+		DialTimeoutMillis: engineDialTimeoutMillis, MaxIdlePerAddress: maxIdleConnsPerEngine,
+	})}
+}
+
 // newEngineClient returns a client for orders to engines and queries of their state. Each
 // request has a connection of its own.
 func newEngineClient() *http.Client {
