connector: a line that is no field makes an answer malformed

Callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank; the caller got it as an answer, with that line passed on ("In name: 1"). With the blank in "Content-Length :" or "Transfer-Encoding :" the field did not count, and the caller got another body than the engine's: up to the end of the connection, or with the sizes of the chunks in it. A line that begins with a blank hid a field as a part of the one before.

Cause: net/http's parser keeps names with blanks for compatibility, unnormalised, so that no code finds them, and joins lines that begin with a blank to the line before. Names with control bytes it rejects. Trailers are read by the same parser.

Change: the connector reads a head line by line and returns ErrMalformed unless each line after the first is a token, a colon and a value without control bytes (RFC 9112, section 5; RFC 9110, sections 5.5 and 5.6.2); then net/http parses the same bytes. Trailers are checked in the same way. RFC 9112, section 5.2, lets a gateway reject folded lines.

Ruled out: a check of the parsed names. It finds blanks, but neither folded lines nor trailers.

Evidence: before the change TestMalformedAnswersAreNotRelayed (platform) failed for calls, streams, resumed streams and reservations ("expected 502, actual 200"), TestMalformedAnswersAreErrors (runner) for all kinds of calls with a body, and so did the tests of the watcher's list, of figctl and, with a sound handshake that has one bad line more, messenger TestMalformedHandshakeIsRejected. All pass now. connector TestDoReturnsOnlyResponseWithMatchingID and TestResponsesWithoutBody hold the other side: LF line ends, empty and unusual values, trailers, heads without a body.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -292,14 +292,14 @@
 	if err != nil {
 		return nil, err
 	}
-	selfDelimiting := h.ContentLength >= 0 || len(h.TransferEncoding) > 0
-	if !selfDelimiting {
+	delimited := selfDelimiting(h)
+	if !delimited {
 		h.Body = &closeDelimitedBody{ReadCloser: h.Body, checkEnd: x.checkEnd}
 	}
-	x.reusable = selfDelimiting && !h.Close
+	x.reusable = delimited && !h.Close
 	x.keepAlive = h.Header.Get("Keep-Alive")
 	return &Response{
-		Status: h.StatusCode, Header: h.Header, SelfDelimiting: selfDelimiting, contentLength: h.ContentLength, body: h.Body, exchange: x,
+		Status: h.StatusCode, Header: h.Header, SelfDelimiting: delimited, contentLength: h.ContentLength, body: h.Body, exchange: x,
 	}, nil
 }
 
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -45,6 +45,8 @@
 	return connector.Request{Address: "a", Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"), IDHeader: "Id", ID: id}
 }
 
+const chunkedStart = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
 const completeResponse = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
 
 func TestDoReturnsOnlyResponseWithMatchingID(t *testing.T) {
@@ -59,8 +61,17 @@
 		{"responses to other requests only", strings.Repeat("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad", 3), "", connector.ErrMismatchedResponse, false},
 		{"interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + completeResponse, "ok", nil, false},
 		{"truncated", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 20\r\n\r\nok", "", nil, true},
-		{"truncated in a chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok", "", nil, true},
+		{"truncated in a chunk", chunkedStart + "9\r\nok", "", nil, true},
 		{"no length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nok", "ok", nil, false},
+		{"lines that end with LF", strings.ReplaceAll(completeResponse, "\r\n", "\n"), "ok", nil, false},
+		{"unusual values", strings.Replace(completeResponse, "Id: 1", "Empty:\r\nTab: a\tb\r\nText: \xe9\r\nId:1", 1), "ok", nil, false},
+		{"chunked, with a trailer", chunkedStart + "2;x=y\r\nok\r\n0\r\nName: value\r\n\r\n", "ok", nil, false},
+		{"no line end after the last chunk", chunkedStart + "2\r\nok\r\n0\r\n", "", nil, true},
+		{"truncated in the trailer", chunkedStart + "2\r\nok\r\n0\r\nName: value\r\n", "", nil, true},
+		{"blank in a name in the trailer", chunkedStart + "2\r\nok\r\n0\r\nIn name: value\r\n\r\n", "", nil, true},
+		{"no last chunk", chunkedStart + "2\r\nok\r\n", "", nil, true},
+		{"chunk longer than its size", chunkedStart + "2\r\nokay\r\n0\r\n\r\n", "", nil, true},
+		{"size of a chunk is no number", chunkedStart + "two\r\nok\r\n0\r\n\r\n", "", nil, true},
 		{"not HTTP", "garbage\r\n\r\n", "", errors.New(""), false},
 		{"none", "", "", io.ErrUnexpectedEOF, false},
 	}
@@ -87,6 +98,36 @@
 	}
 }
 
+// TestResponsesWithoutBody checks that a response that has no body is complete with its head,
+// whatever its fields say, so that the connection is kept.
+func TestResponsesWithoutBody(t *testing.T) {
+	tests := []struct{ name, method, response string }{
+		{"to HEAD, with a length", http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\n"},
+		{"to HEAD, without a length", http.MethodHead, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"},
+		{"204", http.MethodPost, "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n"},
+		{"304", http.MethodGet, "HTTP/1.1 304 Not Modified\r\nId: 1\r\nContent-Length: 9\r\n\r\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := connector.New(scriptedDial(t, test.response, test.response))
+				for i := range 2 {
+					request := newRequest("1")
+					request.Method, request.Body = test.method, nil
+					r, err := c.Do(t.Context(), request)
+					require.NoError(t, err)
+					body, err := io.ReadAll(r)
+					require.NoError(t, err)
+					require.Empty(t, body)
+					r.Close()
+					require.EqualValues(t, 1, c.OpenedConnections(), "request %d", i)
+				}
+				c.CloseIdle(func(string) bool { return false })
+			})
+		})
+	}
+}
+
 // TestConnectionReusedOnlyAfterCleanResponse counts the connections opened for two
 // consecutive requests.
 func TestConnectionReusedOnlyAfterCleanResponse(t *testing.T) {
--- a/connector/reading.go
+++ b/connector/reading.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -16,6 +17,9 @@
 	maxStatus = 599
 )
 
+// typicalHeadBytes is the memory that is allocated first for a head.
+const typicalHeadBytes = 512
+
 // ErrMalformed reports bytes that are no well-formed response. What the endpoint did with the
 // request is not known.
 var ErrMalformed = errors.New("response is malformed")
@@ -39,22 +43,111 @@
 	r.head.Begin()
 	defer r.head.End()
 	for {
-		response, err := http.ReadResponse(r.reader, request)
+		response, err := r.readHead(request)
 		if err != nil {
 			return nil, r.head.CheckedError(err)
 		}
-		if err := checkStatus(response.StatusCode, request); err != nil {
-			return nil, err
-		}
 		if observe != nil {
 			observe(response.StatusCode, response.Header)
 		}
 		if response.StatusCode >= http.StatusOK || isUpgrade(response.StatusCode, request) {
+			response.Body = r.newBody(response)
 			return response, nil
 		}
 	}
 }
 
+// readHead reads one head. The response has no body yet.
+func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
+	text, err := r.readHeadText()
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(text), len(text)), request)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	return response, checkStatus(response.StatusCode, request)
+}
+
+// readHeadText reads a status line and the field lines after it, up to and including the blank
+// line that ends them. It checks the field lines, since net/http accepts some that are none.
+func (r *responseReader) readHeadText() ([]byte, error) {
+	text := make([]byte, 0, typicalHeadBytes)
+	for first := true; ; first = false {
+		start := len(text)
+		var err error
+		if text, err = r.appendLine(text); err != nil {
+			return nil, err
+		}
+		line := trimLineEnd(text[start:])
+		switch {
+		case first:
+			continue
+		case len(line) == 0:
+			return text, nil
+		}
+		if err := checkFieldLine(line); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// appendLine appends the next line with its end. It returns [io.ErrUnexpectedEOF] if the
+// connection ends before the line does.
+func (r *responseReader) appendLine(text []byte) ([]byte, error) {
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		text = append(text, part...)
+		switch {
+		case err == nil:
+			return text, nil
+		case errors.Is(err, io.EOF):
+			return text, io.ErrUnexpectedEOF
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return text, err
+		}
+	}
+}
+
+// trimLineEnd returns a line without its end, which is CRLF or LF.
+func trimLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
+// checkFieldLine returns [ErrMalformed] unless a line is a field as RFC 9112, section 5, defines
+// it. A line that begins with a blank is none either: it continues the line before it in an
+// obsolete form, which a gateway may reject.
+func checkFieldLine(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) || !isFieldValue(value) {
+		return fmt.Errorf("%w: field line %.80q", ErrMalformed, line)
+	}
+	return nil
+}
+
+// isToken reports whether text is a token (RFC 9110, section 5.6.2).
+func isToken(text []byte) bool {
+	for _, c := range text {
+		switch {
+		case 'a' <= c && c <= 'z', 'A' <= c && c <= 'Z', '0' <= c && c <= '9', bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) >= 0:
+		default:
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isFieldValue reports whether text has no control byte but tabs (RFC 9110, section 5.5).
+func isFieldValue(text []byte) bool {
+	for _, c := range text {
+		if c == 0x7f || c < ' ' && c != '\t' {
+			return false
+		}
+	}
+	return true
+}
+
 // checkStatus returns [ErrMalformed] for a status that is none of HTTP, and for a switch of
 // protocols that the request did not ask for: the bytes after it are no response.
 func checkStatus(status int, request *http.Request) error {
@@ -73,8 +166,9 @@
 }
 
 // ReadResponse reads the response to a request from a connection that carries no other
-// request. It skips interim responses, and returns [limiter.ErrHeadTooLarge] if the head is
-// too long and [ErrMalformed] if it is not well-formed.
+// request. The request must have been written without an error. It skips interim responses, and
+// returns [limiter.ErrHeadTooLarge] if the head is too long and [ErrMalformed] if it is not
+// well-formed.
 func ReadResponse(source io.Reader, request *http.Request) (*http.Response, error) {
 	return newResponseReader(source).readResponse(request, nil)
 }
--- a/emulator/malformed.go
+++ b/emulator/malformed.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 )
 
 // MalformedAnswer is an answer that is not complete or not well-formed.
@@ -30,7 +31,7 @@
 // MalformedAnswers returns answers that no client may take for one of the endpoint. Apart from
 // its fault each is a success with the given fields, lines that end with CRLF, and the body.
 func MalformedAnswers(fields, body string) []MalformedAnswer {
-	return slices.Concat(badStatusAnswers(fields, body))
+	return slices.Concat(badStatusAnswers(fields, body), badFieldAnswers(fields, body))
 }
 
 // badStatusAnswers returns answers whose status is none of HTTP.
@@ -57,3 +58,29 @@
 		},
 	})
 }
+
+// badFieldAnswers returns answers with a line that is no field: its name holds a blank or a control
+// byte, or is missing.
+func badFieldAnswers(fields, body string) []MalformedAnswer {
+	var all []MalformedAnswer
+	add := func(name string, f framing, lines string) {
+		_, framed := f.frame(body)
+		all = append(all, MalformedAnswer{
+			Name: name + ", " + f.name, ScriptedAnswer: ScriptedAnswer{Text: "HTTP/1.1 200 OK\r\n" + fields + lines + "\r\n" + framed, End: CloseOrderly},
+		})
+	}
+	for _, f := range framings {
+		framingFields, _ := f.frame(body)
+		for _, line := range []string{
+			"In name: 1", "Name : 1", "Name\t: 1", "Na\x01me: 1", "Na\x00me: 1", "Na\x7fme: 1", "N\rame: 1", " Name: 1", "\tName: 1", "Na\x80me: 1", "Na(me: 1", ": 1", "Name",
+		} {
+			add(fmt.Sprintf("line %q", line), f, framingFields+line+"\r\n")
+			add(fmt.Sprintf("line %q last", line), f, line+"\r\n"+framingFields)
+		}
+		if framingFields != "" {
+			add("blank in the field that frames the body", f, strings.Replace(framingFields, ":", " :", 1))
+			add("blank before the field that frames the body", f, " "+framingFields)
+		}
+	}
+	return all
+}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha1"
+	"encoding/base64"
 	"errors"
 	"net"
 	"net/http"
@@ -16,6 +18,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/figseam/figseam"
+	"github.com/figseam/figseam/emulator"
 	"github.com/figseam/figseam/messenger"
 	"github.com/figseam/figseam/recoverer"
 )
@@ -215,3 +218,35 @@
 		return err == nil && n == 6
 	}, eventuallyTimeout, pollInterval)
 }
+
+// TestMalformedHandshakeIsRejected guards against messages to an instance whose answer to the
+// handshake is no HTTP: what follows it cannot be trusted either.
+func TestMalformedHandshakeIsRejected(t *testing.T) {
+	const sound = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n"
+	tests := []struct {
+		name, answer string
+		rejected     bool
+	}{
+		{"sound", sound, false},
+		{"blank in the name of a field", sound + "In name: 1\r\n", true},
+		{"line begins with a blank", sound + " Name: 1\r\n", true},
+		{"control byte in the name of a field", sound + "Na\x01me: 1\r\n", true},
+		{"status 000", strings.Replace(sound, "101", "000", 1), true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			server := &emulator.ScriptedServer{Answer: func(_ int, r *http.Request) emulator.ScriptedAnswer {
+				sum := sha1.Sum([]byte(r.Header.Get("Sec-WebSocket-Key") + "258EAFA5-E914-47DA-95CA-C5AB0DC85B11"))
+				accept := base64.StdEncoding.EncodeToString(sum[:])
+				return emulator.ScriptedAnswer{Text: test.answer + "Sec-WebSocket-Accept: " + accept + "\r\n\r\n"}
+			}}
+			address, stop, err := server.Start()
+			require.NoError(t, err)
+			defer stop()
+			m := messenger.New("self", nil, zerolog.Nop())
+			defer m.Close()
+			_, err = messenger.Call[int, int](t.Context(), m, address, "kind", 1)
+			require.Equal(t, test.rejected, errors.Is(err, figseam.ErrUnreachable), "%v", err)
+		})
+	}
+}
