connector: an earlier refusal that is sent once more is not taken for a new one

Callers would see: a faulty engine writes an earlier refusal once more on a kept connection, before the answer to the next request.

What could happen here. Calls, streams and prefills of opaque requests bear an ID that answers repeat, so the refusal of another request is skipped, and the relayer closes a connection after a refusal of the same one: callers were told "not run" only where that was true. But (1) answers to reservations bear no ID: the second copy counted as the refusal of a reservation that the engine had granted, so that its memory stayed reserved for a request that went elsewhere. (2) Answers of the engines of named objects bear none either: a decode or prefill that the engine ran counted as refused, "engine has no memory for the request", and went to another engine; the second copy of a confirmation confirmed a cancellation or an order that the engine had not carried out. (3) The connector by itself took a second refusal with the same ID, or of a request with an empty one, for a new one; only what its caller does prevented that.

Cause: an answer without an ID belongs to a request only by its place on the connection, and an ID distinguishes nothing if the connection has carried it before.

Change: after an answer that is no success a connection is kept only for requests with an ID, by Transport not at all. A connection remembers the IDs that it carried, is closed after 512, and is not used for one of them again. Requests with an empty ID, cancellations and orders of named objects have a connection of their own. It works since a connection that carries a request has then never carried an answer that could be taken for its own.

Ruled out: closing every connection after a refused reservation, which costs a new channel for each while engines are full.

Three tests of the connector sent two requests with one ID on a connection and expected that it is reused. That is what is excluded now, so their second requests have IDs of their own; what they check and count is the same.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,7 +29,10 @@
 	// an idle connection may be reused.
 	idleTimeoutShare  = 0.7
 	maxIdlePerAddress = 16
-	readBufferBytes   = 4 << 10
+	// maxRequestsPerConnection bounds the requests with an ID on one connection, which remembers
+	// their IDs.
+	maxRequestsPerConnection = 512
+	readBufferBytes          = 4 << 10
 	// maxStaleResponses bounds the responses to earlier requests that are skipped.
 	maxStaleResponses = 2
 	// maxStaleBodyBytes bounds the body of a skipped response.
@@ -58,10 +63,13 @@
 	Body   []byte
 	// IDHeader and ID are the name and value of the header that the response must
 	// repeat. With an empty IDHeader every response is accepted. Such a request never uses
-	// a connection that carried a request with an ID, since it would accept a late response
-	// to that one as its own.
+	// a connection that carried a request with an ID or a refusal, since it would accept a
+	// late or second response as its own. For the same reason a request never uses a
+	// connection that carried its ID before.
 	IDHeader string
 	ID       string
+	// SingleUse has the request sent on a new connection, which is not kept.
+	SingleUse bool
 	// ObserveHead, if set, is called with the head of each response on the connection while
 	// it carries the request: interim ones, responses to earlier requests, and its own.
 	ObserveHead func(status int, header http.Header)
@@ -76,6 +84,10 @@
 
 func (r Request) idleKey() idleKey { return idleKey{address: r.Address, matched: r.IDHeader != ""} }
 
+// needsNewConnection reports whether the request must not use a kept connection. Responses to
+// requests with an empty ID cannot be told apart.
+func (r Request) needsNewConnection() bool { return r.SingleUse || (r.IDHeader != "" && r.ID == "") }
+
 // Response is an endpoint's response. The caller must call Close.
 type Response struct {
 	Status int
@@ -95,6 +107,8 @@
 	dial              DialFunc
 	dialTimeoutMillis int64
 	maxIdlePerAddress int
+	// keepsRefusing is true if a connection may be kept after a refusal, for requests with an ID.
+	keepsRefusing bool
 
 	// mu guards everything below.
 	mu     sync.Mutex
@@ -107,6 +121,8 @@
 	net.Conn
 	*responseReader
 	idleDeadline time.Time
+	// carried holds the hashes of the IDs of all requests that the connection carried.
+	carried []uint64
 }
 
 // exchange is one request with its connection and response.
@@ -119,6 +135,8 @@
 	stopAbort   func() bool
 	writeResult chan error
 	reusable    bool
+	// status is the status of the response.
+	status int
 	// keepAlive is the response's Keep-Alive header.
 	keepAlive string
 	closeOnce sync.Once
@@ -129,7 +147,7 @@
 	if dial == nil {
 		dial = dialTCP
 	}
-	return &Connector{dial: dial, dialTimeoutMillis: dialTimeoutMillis, maxIdlePerAddress: maxIdlePerAddress, idle: map[idleKey][]*conn{}}
+	return &Connector{dial: dial, dialTimeoutMillis: dialTimeoutMillis, maxIdlePerAddress: maxIdlePerAddress, keepsRefusing: true, idle: map[idleKey][]*conn{}}
 }
 
 // OpenedConnections returns the number of connections opened so far.
@@ -162,7 +180,7 @@
 }
 
 func (x *exchange) connect(ctx context.Context) error {
-	if k := x.connector.popIdle(x.request.idleKey()); k != nil {
+	if k := x.popIdle(); k != nil {
 		x.conn = k
 		return nil
 	}
@@ -197,11 +215,14 @@
 	return false
 }
 
-// popIdle returns an idle connection that can be reused, or nil, and closes those
-// that cannot.
-func (c *Connector) popIdle(key idleKey) *conn {
+// popIdle returns an idle connection that the request may use, or nil, and closes those that no
+// request can use any more.
+func (x *exchange) popIdle() *conn {
+	if x.request.needsNewConnection() {
+		return nil
+	}
 	for {
-		k := c.popNewest(key)
+		k := x.connector.popNewest(x.request)
 		if k == nil {
 			return nil
 		}
@@ -215,30 +236,43 @@
 // popNewest returns the idle connection that a request may use and that was used last, or
 // nil. A request with an ID may also use a connection without one: it can tell the
 // responses apart. That a connection has just carried a reservation shows that it works.
-func (c *Connector) popNewest(key idleKey) *conn {
+func (c *Connector) popNewest(r Request) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	key := r.idleKey()
+	i := c.newestWithout(key, r.ID)
 	if key.matched {
 		unmatched := idleKey{address: key.address}
-		if k := last(c.idle[unmatched]); k != nil && (len(c.idle[key]) == 0 || k.idleDeadline.After(last(c.idle[key]).idleDeadline)) {
-			key = unmatched
+		j := c.newestWithout(unmatched, r.ID)
+		if j >= 0 && (i < 0 || c.idle[unmatched][j].idleDeadline.After(c.idle[key][i].idleDeadline)) {
+			key, i = unmatched, j
 		}
 	}
-	k := last(c.idle[key])
-	if k != nil {
-		c.idle[key] = c.idle[key][:len(c.idle[key])-1]
+	if i < 0 {
+		return nil
 	}
+	k := c.idle[key][i]
+	c.idle[key] = slices.Delete(c.idle[key], i, i+1)
 	return k
 }
 
-// last returns the last connection, or nil.
-func last(all []*conn) *conn {
-	if len(all) == 0 {
-		return nil
+// newestWithout returns the index of the connection that was used last and did not carry an ID,
+// or -1. The caller holds mu.
+func (c *Connector) newestWithout(key idleKey, id string) int {
+	all := c.idle[key]
+	for i := len(all) - 1; i >= 0; i-- {
+		if !key.matched || !slices.Contains(all[i].carried, hashID(id)) {
+			return i
+		}
 	}
-	return all[len(all)-1]
+	return -1
 }
 
+// idSeed is the seed of the hashes of IDs. Two IDs with the same hash only cost a connection.
+var idSeed = maphash.MakeSeed()
+
+func hashID(id string) uint64 { return maphash.String(idSeed, id) }
+
 // send writes the request. A long request is written concurrently with the reading of
 // the response, since an endpoint may respond before it has read the whole request.
 func (x *exchange) send() {
@@ -297,6 +331,7 @@
 		h.Body = &closeDelimitedBody{ReadCloser: h.Body, checkEnd: x.checkEnd}
 	}
 	x.reusable = delimited && !h.Close
+	x.status = h.StatusCode
 	x.keepAlive = h.Header.Get("Keep-Alive")
 	return &Response{
 		Status: h.StatusCode, Header: h.Header, SelfDelimiting: delimited, contentLength: h.ContentLength, body: h.Body, exchange: x,
@@ -355,12 +390,36 @@
 
 func (x *exchange) finish(bodyComplete bool) {
 	stopped := x.stopAbort()
-	if !stopped || !bodyComplete || !x.reusable || !x.writeSucceeded() {
+	if !stopped || !bodyComplete || !x.reusable || !x.writeSucceeded() || !x.mayKeep() {
 		_ = x.conn.Close()
 		return
 	}
+	if x.request.IDHeader != "" {
+		x.conn.carried = append(x.conn.carried, hashID(x.request.ID))
+	}
 	x.conn.idleDeadline = time.Now().Add(idleTimeout(x.keepAlive))
-	x.connector.pushIdle(x.request.idleKey(), x.conn)
+	x.connector.pushIdle(x.keyAfter(), x.conn)
+}
+
+// mayKeep reports whether another request may use the connection, provided that the exchange
+// ended well.
+func (x *exchange) mayKeep() bool {
+	return !x.request.needsNewConnection() && len(x.conn.carried) < maxRequestsPerConnection &&
+		(x.connector.keepsRefusing || x.accepted())
+}
+
+// accepted reports whether the response is a success.
+func (x *exchange) accepted() bool {
+	return x.status >= http.StatusOK && x.status < http.StatusMultipleChoices
+}
+
+// keyAfter returns the key under which the connection is kept. After a refusal only requests with
+// an ID may use it: if the endpoint sends the refusal once more, any other request would take
+// it for its own.
+func (x *exchange) keyAfter() idleKey {
+	key := x.request.idleKey()
+	key.matched = key.matched || !x.accepted()
+	return key
 }
 
 func (x *exchange) writeSucceeded() bool {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -47,7 +47,11 @@
 
 const chunkedStart = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-const completeResponse = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+// completeResponse and secondResponse are the responses to requests "1" and "2".
+const (
+	completeResponse = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+	secondResponse   = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok"
+)
 
 func TestDoReturnsOnlyResponseWithMatchingID(t *testing.T) {
 	tests := []struct {
@@ -110,9 +114,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := connector.New(scriptedDial(t, test.response, test.response))
-				for i := range 2 {
-					request := newRequest("1")
+				c := connector.New(scriptedDial(t, test.response, strings.Replace(test.response, "Id: 1", "Id: 2", 1)))
+				for i, id := range []string{"1", "2"} {
+					request := newRequest(id)
 					request.Method, request.Body = test.method, nil
 					r, err := c.Do(t.Context(), request)
 					require.NoError(t, err)
@@ -145,9 +149,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c := connector.New(scriptedDial(t, test.first, completeResponse))
-				for range 2 {
-					r, err := c.Do(t.Context(), newRequest("1"))
+				c := connector.New(dialInTurn(scriptedDial(t, test.first, secondResponse), scriptedDial(t, secondResponse)))
+				for _, id := range []string{"1", "2"} {
+					r, err := c.Do(t.Context(), newRequest(id))
 					require.NoError(t, err)
 					_, err = io.ReadAll(r)
 					require.NoError(t, err)
@@ -207,7 +211,7 @@
 		require.NoError(t, err)
 		_, _ = io.ReadAll(r)
 		r.Close()
-		get := newRequest("1")
+		get := newRequest("2")
 		get.Method, get.Body = http.MethodGet, nil
 		_, err = c.Do(t.Context(), get)
 		require.Error(t, err)
--- a/connector/transport.go
+++ b/connector/transport.go
@@ -31,7 +31,9 @@
 }
 
 // Transport is an [http.RoundTripper] over a [Connector], for callers that use the client of
-// net/http. It never retries a request. It is safe for concurrent use.
+// net/http. It never retries a request. Its responses bear no ID, so that a connection is kept only
+// after a success, and a request with Close set has a connection of its own. It is safe for
+// concurrent use.
 type Transport struct {
 	plain *Connector
 	// secure opens TLS connections.
@@ -56,6 +58,7 @@
 	for _, c := range []*Connector{t.plain, t.secure} {
 		c.dialTimeoutMillis = cmp.Or(s.DialTimeoutMillis, dialTimeoutMillis)
 		c.maxIdlePerAddress = s.MaxIdlePerAddress
+		c.keepsRefusing = false
 	}
 	return t
 }
@@ -92,13 +95,14 @@
 		return nil, err
 	}
 	t.sweep()
-	header := r.Header
-	if r.Close || t.singleUse && header.Get("Upgrade") == "" {
+	header, singleUse := r.Header, r.Close || t.singleUse
+	if singleUse && header.Get("Upgrade") == "" {
 		header = header.Clone()
 		header.Set("Connection", "close")
 	}
 	response, err := c.Do(r.Context(), Request{
-		Address: address, Method: r.Method, Target: r.URL.RequestURI(), Host: cmp.Or(r.Host, r.URL.Host), Header: header, Body: body,
+		Address: address, Method: r.Method, Target: r.URL.RequestURI(), Host: cmp.Or(r.Host, r.URL.Host),
+		Header: header, Body: body, SingleUse: singleUse,
 	})
 	if err != nil {
 		return nil, err
--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -84,7 +84,7 @@
 
 func (e *engine) Cancel(ctx context.Context, attempt figseam.AttemptID) (err error) {
 	defer func() { err = eris.Wrap(err, "cancel") }()
-	err = e.roundTrip(ctx, http.MethodDelete, PathAttempts+url.PathEscape(string(attempt)), nil, nil)
+	err = e.confirm(ctx, http.MethodDelete, PathAttempts+url.PathEscape(string(attempt)), nil)
 	if errors.Is(err, figseam.ErrAttemptNotFound) {
 		return nil
 	}
@@ -123,33 +123,66 @@
 
 func (e *engine) Reconfigure(ctx context.Context, params figseam.EngineReconfig) (err error) {
 	defer func() { err = eris.Wrap(err, "reconfigure engine") }()
-	return e.roundTrip(ctx, http.MethodPost, PathReconfigure, ReconfigRequest(params), nil)
+	return e.confirm(ctx, http.MethodPost, PathReconfigure, ReconfigRequest(params))
 }
 
 // roundTrip sends a request and decodes the response into target. A response of more
-// than maxEngineResponseBytes is an error. With a nil target the response is ignored.
+// than maxEngineResponseBytes is an error.
 func (e *engine) roundTrip(ctx context.Context, method, path string, body, target any) error {
 	response, err := e.send(ctx, method, path, body)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = response.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxEngineResponseBytes+1))
+	text, err := readWhole(response)
 	if err != nil {
 		return err
 	}
-	if target == nil {
-		return nil
-	}
-	if len(text) > maxEngineResponseBytes || json.Unmarshal(text, target) != nil {
+	if json.Unmarshal(text, target) != nil {
 		return figseam.ErrProtocol
 	}
 	return nil
 }
 
+// confirm sends a request whose response only says that it was carried out. It uses a new
+// connection: on a kept one the confirmation of an earlier request, sent once more, could
+// not be told from that of this one.
+func (e *engine) confirm(ctx context.Context, method, path string, body any) error {
+	request, err := e.newRequest(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	request.Close = true
+	response, err := e.do(request)
+	if err != nil {
+		return err
+	}
+	_, err = readWhole(response)
+	return err
+}
+
+// readWhole reads and closes the body of a response. A body of more than maxEngineResponseBytes
+// is an error.
+func readWhole(response *http.Response) (text []byte, err error) {
+	defer func() { _ = response.Body.Close() }()
+	text, err = io.ReadAll(io.LimitReader(response.Body, maxEngineResponseBytes+1))
+	if err == nil && len(text) > maxEngineResponseBytes {
+		err = figseam.ErrProtocol
+	}
+	return text, err
+}
+
 // send sends a request and returns a response with a 2xx status, whose body the caller
 // must close.
 func (e *engine) send(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	request, err := e.newRequest(ctx, method, path, body)
+	if err != nil {
+		return nil, err
+	}
+	return e.do(request)
+}
+
+// newRequest returns a request with a JSON body; without a body if it is nil.
+func (e *engine) newRequest(ctx context.Context, method, path string, body any) (*http.Request, error) {
 	var text []byte
 	if body != nil {
 		var err error
@@ -162,6 +195,11 @@
 		return nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// do is like send for a request that has been created.
+func (e *engine) do(request *http.Request) (*http.Response, error) {
 	response, err := e.client.Do(request)
 	if err != nil {
 		return nil, err
