relayer: a success that is no part of the stream does not go on with it

Callers saw: a stream had begun and broke off; the next engine answered with an error in a success: 200 with a body in JSON, 202 or 206 with a text. The text stood in the middle of the stream; after a 204 the stream ended as if it were complete.

Cause: once events have been relayed, an answer with a status from 300 on, without a signature or encoded is not relayed, but each other one was read as the rest of the stream, whatever its status and media type were.

Change: if the caller has the beginning of a stream, a later answer goes on with it only if its status and media type are those of the first. Otherwise the attempt failed as one without a signature, and another engine is tried or the caller's connection is closed.

Already right, and kept by the test: failures by status (500, 500 as a stream, 503 and 429 as not run, 421, 404, 307), success without a signature or encoded, and a stream that a third engine completes after such an answer.

A resumed answer of a sound engine has the head of the first one, so nothing else changes.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -175,6 +175,8 @@
 	excluded    map[string]bool
 	steps       []step
 	wroteHeader bool
+	// relayedStatus is the status of the stream that the caller has the beginning of.
+	relayedStatus int
 	// retryAfterMillis is the estimated delay after which a refused caller may retry; 0
 	// if there is no estimate.
 	retryAfterMillis float64
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -59,7 +60,7 @@
 	if response.Status >= http.StatusMultipleChoices {
 		return s.relayFailure(ctx, response)
 	}
-	if !head.Signed {
+	if !head.Signed || !s.continues(response) {
 		return explainer.InvalidResponse
 	}
 	code = s.relayEvents(ctx, response, watch)
@@ -69,6 +70,21 @@
 	return code
 }
 
+// continues reports whether a success can go on with what the caller already has of the stream: an
+// answer of another status or media type is no part of it. It is true if the caller has nothing.
+func (s *stream) continues(r *connector.Response) bool {
+	if !s.wroteHeader {
+		return true
+	}
+	return r.Status == s.relayedStatus && mediaType(r.Header) == mediaType(s.writer.Header())
+}
+
+// mediaType returns the media type of a response without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // relayFailure relays an endpoint's error response. It returns EndpointFailed instead if
 // the request may be retried, or if the response header has already been written.
 func (s *stream) relayFailure(ctx context.Context, r *connector.Response) figseam.Code {
@@ -151,7 +167,7 @@
 	if s.wroteHeader {
 		return
 	}
-	s.wroteHeader = true
+	s.wroteHeader, s.relayedStatus = true, r.Status
 	s.copyHeader(r.Header)
 	s.writer.WriteHeader(r.Status)
 	took := time.Since(s.began)
