gateway: a stream whose engines failed does not end as a complete response

Callers saw (named objects): a stream had begun, the engine broke off and all further attempts were answered with errors. The refusal was sent as the last event, as the API has it, but the HTTP response then ended as a complete one. A caller that waits for the end of the response and not for [DONE] took the part for the whole.

Cause: failModelRequest returned after the last event, so that net/http wrote the last chunk.

Change: the response is aborted after the event, as it is for a caller that has disconnected. Clients that know the event see it first, as before.

Evidence: gateway TestFailedStreamDoesNotEndAsComplete failed before ("expected false, actual true") and passes now; launcher, with the unmodified client of the API, passes.

--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -6,5 +6,6 @@
 // Figseam-Outcome (not_run, unknown or done) and, if a later retry can succeed,
 // Retry-After. Refusals of model requests use the error envelope of the OpenAI API;
 // refusals of service calls are RFC 9457 problem details. A refusal after a stream has
-// started is the last event of the stream and has no headers.
+// started is the last event of the stream and has no headers; the connection is then closed
+// without the end of the response, which is not complete.
 package gateway
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -222,9 +222,9 @@
 		Str("detail", refusal.Detail).Send()
 }
 
-// failModelRequest ends a model request whose execution failed. It aborts the connection
-// if the caller has disconnected, and otherwise sends the refusal, as the last event if
-// the response has started.
+// failModelRequest ends a model request whose execution failed. It sends the refusal, as the
+// last event if the response has started, unless the caller has disconnected. A response that has
+// started is then aborted, so that the part of the answer in it cannot be taken for the whole.
 func (c *CallerServer) failModelRequest(w http.ResponseWriter, r *http.Request, id figseam.RequestID, sink responseSink, err error) {
 	refusal := asRefusal(err)
 	if errors.Is(err, executor.ErrCallerDisconnected) || r.Context().Err() != nil {
@@ -235,7 +235,7 @@
 	if sink.started() {
 		c.recordRefusal(r, id, refusal)
 		sink.fail(refusal)
-		return
+		panic(http.ErrAbortHandler)
 	}
 	c.refuseModelRequest(w, r, id, refusal)
 }
