platform, runner: tests of answers that are cut in their head or body

Report: an engine stopped in the middle of its answer's head and closed; callers of other systems got a 200 with an empty or short body, framed as whole.

The request may have run and gets 502.

The samples are cut at twelve places, closed or reset, in calls, prefill, streams first and resumed, reservations, releases, cached parts, at the engines and services of named objects, in voters' queries and orders, lists, the handshake with a peer and figctl. CutBodyAnswers are cut after all that a caller needs of the body; they were errors, too.

No product code changes.

--- a/cmd/figctl/client/client_test.go
+++ b/cmd/figctl/client/client_test.go
@@ -14,7 +14,8 @@
 // TestMalformedAnswersLeaveOutcomeUnknown guards against an answer that is no HTTP, or incomplete,
 // and that an operator takes for the acknowledgement or the rejection of a change.
 func TestMalformedAnswersLeaveOutcomeUnknown(t *testing.T) {
-	for _, sample := range emulator.MalformedAnswers("", `{"version":1}`) {
+	const body = `{"version":1}`
+	for _, sample := range append(emulator.MalformedAnswers("", body), emulator.CutBodyAnswers("200 OK", "", body)...) {
 		server := &emulator.ScriptedServer{Answer: func(int, *http.Request) emulator.ScriptedAnswer { return sample.ScriptedAnswer }}
 		address, stop, err := server.Start()
 		require.NoError(t, err)
--- a/emulator/malformed.go
+++ b/emulator/malformed.go
@@ -31,7 +31,7 @@
 // MalformedAnswers returns answers that no client may take for one of the endpoint. Apart from
 // its fault each is a success with the given fields, lines that end with CRLF, and the body.
 func MalformedAnswers(fields, body string) []MalformedAnswer {
-	return slices.Concat(badStatusAnswers(fields, body), badFieldAnswers(fields, body))
+	return slices.Concat(badStatusAnswers(fields, body), badFieldAnswers(fields, body), cutHeadAnswers(fields, body))
 }
 
 // badStatusAnswers returns answers whose status is none of HTTP.
@@ -84,3 +84,56 @@
 	}
 	return all
 }
+
+// cutHeadAnswers returns answers that end within their head, in an orderly way or by a reset.
+func cutHeadAnswers(fields, body string) []MalformedAnswer {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	whole := "HTTP/1.1 200 OK\r\n" + fields + length + "\r\n"
+	cuts := []struct {
+		name string
+		text string
+	}{
+		{"nothing", ""},
+		{"in the status", "HTTP/1.1 2"},
+		{"after the status", "HTTP/1.1 200 OK"},
+		{"after the status line", "HTTP/1.1 200 OK\r\n"},
+		{"after an interim response", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{"after the first fields", "HTTP/1.1 200 OK\r\n" + fields},
+		{"in a name", strings.TrimSuffix(whole, length[7:]+"\r\n")},
+		{"in a value", strings.TrimSuffix(whole, length[16:]+"\r\n")},
+		{"before the end of a line", strings.TrimSuffix(whole, "\r\n\r\n")},
+		{"in the end of a line", strings.TrimSuffix(whole, "\n\r\n")},
+		{"before the blank line", strings.TrimSuffix(whole, "\r\n")},
+		{"in the blank line", strings.TrimSuffix(whole, "\n")},
+	}
+	var all []MalformedAnswer
+	for _, cut := range cuts {
+		all = append(all, MalformedAnswer{Name: "closed, head cut " + cut.name, ScriptedAnswer: ScriptedAnswer{Text: cut.text, End: CloseOrderly}},
+			MalformedAnswer{Name: "reset, head cut " + cut.name, ScriptedAnswer: ScriptedAnswer{Text: cut.text, End: Reset}})
+	}
+	return all
+}
+
+// CutBodyAnswers returns answers that end before their body is complete, though all bytes of the
+// given body have come. status is the code with its reason.
+func CutBodyAnswers(status, fields, body string) []MalformedAnswer {
+	head := "HTTP/1.1 " + status + "\r\n" + fields
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	if body != "" {
+		chunked += fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	}
+	texts := []struct{ name, text string }{
+		{"shorter than its length", fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body)+2, body)},
+		{"no end of the last line", strings.TrimSuffix(chunked, "\r\n")},
+		{"no last chunk", chunked},
+		{"no end of the last chunk", chunked + "0\r\n"},
+		{"no end of the trailer", chunked + "0\r\nName: 1\r\n"},
+	}
+	var all []MalformedAnswer
+	for _, t := range texts {
+		all = append(all, MalformedAnswer{Name: "closed, " + t.name, ScriptedAnswer: ScriptedAnswer{Text: t.text, End: CloseOrderly}},
+			MalformedAnswer{Name: "reset, " + t.name, ScriptedAnswer: ScriptedAnswer{Text: t.text, End: Reset}})
+	}
+	neither := ScriptedAnswer{Text: head + "\r\n" + body, End: Reset}
+	return append(all, MalformedAnswer{Name: "reset, without a length", ScriptedAnswer: neither})
+}
--- a/runner/malformed_test.go
+++ b/runner/malformed_test.go
@@ -26,8 +26,8 @@
 	call func(ctx context.Context, address string) error
 }
 
-// callKinds returns all kinds of calls. Those to model engines share a client, whose connections
-// are kept.
+// callKinds returns all kinds of calls, first the seven to model engines, which share a client whose
+// connections are kept.
 func callKinds() []callKind {
 	models := dialer.New(newModelEngineClient())
 	const chunk = `{"request":"r","attempt":"a","offset":0,"tokens":1,"text":"x","finish":"stop"}` + "\n"
@@ -102,31 +102,46 @@
 // is sent on a new connection and, where connections are kept, on one that carried a call before.
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	for _, kind := range callKinds() {
-		t.Run(kind.name, func(t *testing.T) {
-			for _, sample := range emulator.MalformedAnswers("", kind.body) {
-				for _, before := range []int{0, 1} {
-					calls := 0
-					server := &emulator.ScriptedServer{Answer: func(int, *http.Request) emulator.ScriptedAnswer {
-						if calls++; calls <= before {
-							return emulator.ScriptedAnswer{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(kind.body), kind.body)}
-						}
-						return sample.ScriptedAnswer
-					}}
-					address, stop, err := server.Start()
-					require.NoError(t, err)
-					ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-					for range before {
-						require.Equal(t, kind.body != "", kind.call(ctx, address) == nil, "a sound answer")
-					}
-					err = kind.call(ctx, address)
-					require.Error(t, err, "%s after %d calls", sample.Name, before)
-					for _, refusal := range []error{figseam.ErrEngineFull, figseam.ErrAttemptNotFound, figseam.ErrEngineDraining, context.DeadlineExceeded} {
-						require.NotErrorIs(t, err, refusal, sample.Name)
-					}
-					cancel()
-					stop()
+		t.Run(kind.name, func(t *testing.T) { testSamples(t, kind, emulator.MalformedAnswers("", kind.body)) })
+	}
+}
+
+// TestCutBodiesAreErrors is the same for answers whose body is cut after all that the instance needs of
+// it. The lines of a decode show themselves where the answer ends.
+func TestCutBodiesAreErrors(t *testing.T) {
+	for _, kind := range callKinds() {
+		if kind.name == "decode" || kind.name == "resumed stream" {
+			continue
+		}
+		t.Run(kind.name, func(t *testing.T) { testSamples(t, kind, emulator.CutBodyAnswers("200 OK", "", kind.body)) })
+	}
+}
+
+// testSamples checks that a call returns an error, and none that stands for a refusal, for each
+// answer.
+func testSamples(t *testing.T, kind callKind, samples []emulator.MalformedAnswer) {
+	for _, sample := range samples {
+		for _, before := range []int{0, 1} {
+			calls := 0
+			server := &emulator.ScriptedServer{Answer: func(int, *http.Request) emulator.ScriptedAnswer {
+				if calls++; calls <= before {
+					return emulator.ScriptedAnswer{Text: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(kind.body), kind.body)}
 				}
+				return sample.ScriptedAnswer
+			}}
+			address, stop, err := server.Start()
+			require.NoError(t, err)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			for range before {
+				require.Equal(t, kind.body != "", kind.call(ctx, address) == nil, "a sound answer")
 			}
-		})
+			err = kind.call(ctx, address)
+			require.Error(t, err, "%s after %d calls", sample.Name, before)
+			for _, refusal := range []error{figseam.ErrEngineFull, figseam.ErrAttemptNotFound, figseam.ErrEngineDraining, context.DeadlineExceeded} {
+				require.NotErrorIs(t, err, refusal, sample.Name)
+			}
+			cancel()
+			stop()
+		}
 	}
 }
