dialer, watcher: answers of engines and the list count only when they are whole

Callers would see (named objects): an engine's refusal was cut, for instance since the engine ended while it answered, and counted as the promise that it did nothing; a cut "not_held" confirmed a cancellation. A list that was cut after its last bracket was used.

Cause: responseError and fetchList decoded the first JSON value of the body and did not read on to its end, which shows whether the answer is complete.

Change: both read the whole body first. An incomplete refusal is an error after which it is unknown whether the engine acted.

Evidence: runner TestCutRefusalsAreNoRefusals failed for all seven kinds of calls to engines before ("engine has no memory for the request") and watcher TestMalformedListIsNotUsed with cut bodies. Both pass now. Opaque requests are not concerned: their engines promise in the head.

--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -207,14 +207,18 @@
 	if response.StatusCode/100 == 2 {
 		return response, nil
 	}
-	defer func() { _ = response.Body.Close() }()
 	return nil, responseError(response)
 }
 
-// responseError maps an engine's error response to an error.
+// responseError maps an engine's error response to an error. A response that is not complete
+// says nothing about what the engine did.
 func responseError(response *http.Response) error {
+	text, err := readWhole(response)
+	if err != nil {
+		return err
+	}
 	var body ErrorResponse
-	_ = json.NewDecoder(io.LimitReader(response.Body, maxEngineResponseBytes)).Decode(&body)
+	_ = json.Unmarshal(text, &body)
 	switch body.Error {
 	case ErrorFull:
 		return figseam.ErrEngineFull
--- a/runner/malformed_test.go
+++ b/runner/malformed_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// TestCutRefusalsAreNoRefusals guards against a refusal that is not complete and that counts as the
+// promise of an engine that it did nothing.
+func TestCutRefusalsAreNoRefusals(t *testing.T) {
+	for _, kind := range callKinds()[:7] {
+		t.Run(kind.name, func(t *testing.T) {
+			testSamples(t, kind, emulator.CutBodyAnswers("503 Service Unavailable", "", `{"error":"full"}`))
+			testSamples(t, kind, emulator.CutBodyAnswers("404 Not Found", "", `{"error":"not_held"}`))
+		})
+	}
+}
+
 // testSamples checks that a call returns an error, and none that stands for a refusal, for each
 // answer.
 func testSamples(t *testing.T, kind callKind, samples []emulator.MalformedAnswer) {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -164,7 +164,11 @@
 	if response.StatusCode != http.StatusOK {
 		return PlatformList{}, eris.Errorf("status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&list)
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	if err != nil {
+		return PlatformList{}, err
+	}
+	err = json.Unmarshal(body, &list)
 	return list, err
 }
 
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -30,7 +30,7 @@
 	list, err := fetch(t, emulator.ScriptedAnswer{Text: "HTTP/1.1 200 OK\r\n\r\n" + listBody, End: emulator.CloseOrderly})
 	require.NoError(t, err)
 	require.Len(t, list.Instances, 1)
-	for _, sample := range emulator.MalformedAnswers("", listBody) {
+	for _, sample := range append(emulator.MalformedAnswers("", listBody), emulator.CutBodyAnswers("200 OK", "", listBody)...) {
 		_, err := fetch(t, sample.ScriptedAnswer)
 		require.Error(t, err, sample.Name)
 	}
