connector: a head that leaves open where the body ends makes an answer malformed

Callers saw: for an answer of HTTP/1.0 in chunks they got a body that was not the engine's, with the sizes of the chunks in it, framed as whole. Also relayed were answers with chunks and a length, of HTTP/0.9 or 2.0, and with a control byte in the reason. The body of an interim response was read as the next head, as with status 000.

Cause: net/http's parser ignores Transfer-Encoding in HTTP/1.0, removes a length beside chunks, takes any version, and expects no body of an interim response. It removes the fields, so that they cannot be checked afterwards.

Change: the connector notes the two fields while it reads the lines and returns ErrMalformed for these answers (RFC 9112, sections 2.3, 6.1 and 6.3). An interim response may state a length of 0. What net/http rejects stays rejected: other codings, chunked twice, different or empty lengths, signs.

Evidence: with the new samples platform TestMalformedAnswersAreNotRelayed failed before for calls, streams, resumed streams and reservations, runner TestMalformedAnswersAreErrors for all kinds of calls but the handshake, and the tests of the watcher's list and of figctl. All pass now.

--- a/connector/body.go
+++ b/connector/body.go
@@ -86,7 +86,7 @@
 		if len(line) == 0 {
 			return nil
 		}
-		if err := checkFieldLine(line); err != nil {
+		if _, err := checkFieldLine(line); err != nil {
 			return err
 		}
 	}
--- a/connector/reading.go
+++ b/connector/reading.go
@@ -59,40 +59,71 @@
 
 // readHead reads one head. The response has no body yet.
 func (r *responseReader) readHead(request *http.Request) (*http.Response, error) {
-	text, err := r.readHeadText()
+	head, err := r.readHeadText()
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(text), len(text)), request)
+	response, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(head.text), len(head.text)), request)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
-	return response, checkStatus(response.StatusCode, request)
+	if err := checkStatus(response.StatusCode, request); err != nil {
+		return nil, err
+	}
+	return response, head.checkFraming(response)
+}
+
+// headText holds the lines of a head, with their ends.
+type headText struct {
+	text []byte
+	// hasLength and hasCoding report whether there is a field Content-Length or
+	// Transfer-Encoding. The parser of net/http removes them in some cases.
+	hasLength bool
+	hasCoding bool
 }
 
 // readHeadText reads a status line and the field lines after it, up to and including the blank
-// line that ends them. It checks the field lines, since net/http accepts some that are none.
-func (r *responseReader) readHeadText() ([]byte, error) {
-	text := make([]byte, 0, typicalHeadBytes)
+// line that ends them. It checks the lines, since net/http accepts some that are not well-formed.
+func (r *responseReader) readHeadText() (h headText, err error) {
+	h.text = make([]byte, 0, typicalHeadBytes)
 	for first := true; ; first = false {
-		start := len(text)
-		var err error
-		if text, err = r.appendLine(text); err != nil {
-			return nil, err
+		start := len(h.text)
+		if h.text, err = r.appendLine(h.text); err != nil {
+			return h, err
 		}
-		line := trimLineEnd(text[start:])
+		line := trimLineEnd(h.text[start:])
 		switch {
+		case first && !isFieldValue(line):
+			return h, fmt.Errorf("%w: status line %.80q", ErrMalformed, line)
 		case first:
 			continue
 		case len(line) == 0:
-			return text, nil
+			return h, nil
 		}
-		if err := checkFieldLine(line); err != nil {
-			return nil, err
+		name, err := checkFieldLine(line)
+		if err != nil {
+			return h, err
 		}
+		h.hasLength = h.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+		h.hasCoding = h.hasCoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	}
 }
 
+// checkFraming returns [ErrMalformed] if a head leaves open where the body ends: chunks that the
+// version does not know, or next to a length (RFC 9112, sections 6.1 and 6.3), and a body of an
+// interim response, which has none.
+func (h headText) checkFraming(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return fmt.Errorf("%w: protocol %s", ErrMalformed, response.Proto)
+	case h.hasCoding && (h.hasLength || response.ProtoMinor == 0):
+		return fmt.Errorf("%w: the body is in chunks, but has a length or is of HTTP/1.0", ErrMalformed)
+	case response.StatusCode < http.StatusOK && (h.hasCoding || h.hasLength && response.Header.Get("Content-Length") != "0"):
+		return fmt.Errorf("%w: status %d with a body", ErrMalformed, response.StatusCode)
+	}
+	return nil
+}
+
 // appendLine appends the next line with its end. It returns [io.ErrUnexpectedEOF] if the
 // connection ends before the line does.
 func (r *responseReader) appendLine(text []byte) ([]byte, error) {
@@ -115,15 +146,15 @@
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 }
 
-// checkFieldLine returns [ErrMalformed] unless a line is a field as RFC 9112, section 5, defines
-// it. A line that begins with a blank is none either: it continues the line before it in an
-// obsolete form, which a gateway may reject.
-func checkFieldLine(line []byte) error {
+// checkFieldLine returns the name of a field, and [ErrMalformed] unless the line is a field as RFC
+// 9112, section 5, defines it. A line that begins with a blank is none either: it continues the
+// line before it in an obsolete form, which a gateway may reject.
+func checkFieldLine(line []byte) (name []byte, err error) {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isToken(name) || !isFieldValue(value) {
-		return fmt.Errorf("%w: field line %.80q", ErrMalformed, line)
+		return nil, fmt.Errorf("%w: field line %.80q", ErrMalformed, line)
 	}
-	return nil
+	return name, nil
 }
 
 // isToken reports whether text is a token (RFC 9110, section 5.6.2).
--- a/emulator/malformed.go
+++ b/emulator/malformed.go
@@ -31,7 +31,7 @@
 // MalformedAnswers returns answers that no client may take for one of the endpoint. Apart from
 // its fault each is a success with the given fields, lines that end with CRLF, and the body.
 func MalformedAnswers(fields, body string) []MalformedAnswer {
-	return slices.Concat(badStatusAnswers(fields, body), badFieldAnswers(fields, body), cutHeadAnswers(fields, body))
+	return slices.Concat(badStatusAnswers(fields, body), badFieldAnswers(fields, body), cutHeadAnswers(fields, body), badFramingAnswers(fields, body))
 }
 
 // badStatusAnswers returns answers whose status is none of HTTP.
@@ -114,6 +114,42 @@
 	return all
 }
 
+// badFramingAnswers returns answers whose head leaves open where the body ends, or in which versions
+// of HTTP are mixed.
+func badFramingAnswers(fields, body string) []MalformedAnswer {
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	const chunked = "Transfer-Encoding: chunked\r\n"
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	if body == "" {
+		chunks = "0\r\n\r\n"
+	}
+	whole := "HTTP/1.1 200 OK\r\n" + fields + length + "\r\n" + body
+	samples := []struct{ name, text string }{
+		{"length and chunks", "HTTP/1.1 200 OK\r\n" + fields + length + chunked + "\r\n" + chunks},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + chunked + "\r\n" + chunks},
+		{"chunks in another coding", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: gzip, chunked\r\n\r\n" + chunks},
+		{"chunked twice", "HTTP/1.1 200 OK\r\n" + fields + chunked + chunked + "\r\n" + chunks},
+		{"unknown coding", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: identity\r\n" + length + "\r\n" + body},
+		{"two lengths", "HTTP/1.1 200 OK\r\n" + fields + length + "Content-Length: 1\r\n\r\n" + body},
+		{"length with a sign", "HTTP/1.1 200 OK\r\n" + fields + fmt.Sprintf("Content-Length: +%d\r\n", len(body)) + "\r\n" + body},
+		{"negative length", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: -1\r\n\r\n" + body},
+		{"empty length", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length:\r\n\r\n" + body},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + fields + length + "\r\n" + body},
+		{"HTTP/0.9", "HTTP/0.9 200 OK\r\n" + fields + length + "\r\n" + body},
+		{"another protocol", "ICY/1.1 200 OK\r\n" + fields + length + "\r\n" + body},
+		{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + fields + length + "\r\n" + body},
+		{"no status", "HTTP/1.1\r\n" + fields + length + "\r\n" + body},
+		{"blank line first", "\r\n" + whole},
+		{"interim response with a body", fmt.Sprintf("HTTP/1.1 103 Early Hints\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)},
+		{"interim response with chunks", "HTTP/1.1 103 Early Hints\r\n" + chunked + "\r\n" + whole},
+	}
+	var all []MalformedAnswer
+	for _, s := range samples {
+		all = append(all, MalformedAnswer{Name: s.name, ScriptedAnswer: ScriptedAnswer{Text: s.text, End: CloseOrderly}})
+	}
+	return all
+}
+
 // CutBodyAnswers returns answers that end before their body is complete, though all bytes of the
 // given body have come. status is the code with its reason.
 func CutBodyAnswers(status, fields, body string) []MalformedAnswer {
