--- a/connector/doc.go
+++ b/connector/doc.go
@@ -8,5 +8,7 @@
 // with bytes that belong to no request is closed.
 //
 // It is the only reader of answers over HTTP: [Connector] is for requests whose answers repeat
-// an ID, [Transport] for callers that use the client of net/http.
+// an ID, [Transport] for callers that use the client of net/http, [ReadResponse] for a connection
+// with a single request. All return only responses that are well-formed and, at the end of the
+// body, complete as RFC 9112 defines it; see docs/incidents/019.md.
 package connector
