--- a/connector/connector.go
+++ b/connector/connector.go
@@ -5,14 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,16 +19,7 @@
 	// unackedTimeoutMillis is the longest time that sent bytes may stay unacknowledged
 	// before the kernel closes the connection.
 	unackedTimeoutMillis = 1500
-	// defaultIdleTimeoutMillis applies to endpoints that send no Keep-Alive timeout.
-	defaultIdleTimeoutMillis = 4000
-	// idleTimeoutShare is the fraction of the endpoint's Keep-Alive timeout during which
-	// an idle connection may be reused.
-	idleTimeoutShare  = 0.7
-	maxIdlePerAddress = 16
-	// maxRequestsPerConnection bounds the requests with an ID on one connection, which remembers
-	// their IDs.
-	maxRequestsPerConnection = 512
-	readBufferBytes          = 4 << 10
+	readBufferBytes      = 4 << 10
 	// maxStaleResponses bounds the responses to earlier requests that are skipped.
 	maxStaleResponses = 2
 	// maxStaleBodyBytes bounds the body of a skipped response.
@@ -75,19 +62,6 @@
 	ObserveHead func(status int, header http.Header)
 }
 
-// idleKey identifies the idle connections that a request may use.
-type idleKey struct {
-	address string
-	// matched is true for requests with an ID.
-	matched bool
-}
-
-func (r Request) idleKey() idleKey { return idleKey{address: r.Address, matched: r.IDHeader != ""} }
-
-// needsNewConnection reports whether the request must not use a kept connection. Responses to
-// requests with an empty ID cannot be told apart.
-func (r Request) needsNewConnection() bool { return r.SingleUse || (r.IDHeader != "" && r.ID == "") }
-
 // Response is an endpoint's response. The caller must call Close.
 type Response struct {
 	Status int
@@ -215,64 +189,6 @@
 	return false
 }
 
-// popIdle returns an idle connection that the request may use, or nil, and closes those that no
-// request can use any more.
-func (x *exchange) popIdle() *conn {
-	if x.request.needsNewConnection() {
-		return nil
-	}
-	for {
-		k := x.connector.popNewest(x.request)
-		if k == nil {
-			return nil
-		}
-		if time.Now().Before(k.idleDeadline) && k.reader.Buffered() == 0 && isReusable(k.Conn) {
-			return k
-		}
-		_ = k.Close()
-	}
-}
-
-// popNewest returns the idle connection that a request may use and that was used last, or
-// nil. A request with an ID may also use a connection without one: it can tell the
-// responses apart. That a connection has just carried a reservation shows that it works.
-func (c *Connector) popNewest(r Request) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	key := r.idleKey()
-	i := c.newestWithout(key, r.ID)
-	if key.matched {
-		unmatched := idleKey{address: key.address}
-		j := c.newestWithout(unmatched, r.ID)
-		if j >= 0 && (i < 0 || c.idle[unmatched][j].idleDeadline.After(c.idle[key][i].idleDeadline)) {
-			key, i = unmatched, j
-		}
-	}
-	if i < 0 {
-		return nil
-	}
-	k := c.idle[key][i]
-	c.idle[key] = slices.Delete(c.idle[key], i, i+1)
-	return k
-}
-
-// newestWithout returns the index of the connection that was used last and did not carry an ID,
-// or -1. The caller holds mu.
-func (c *Connector) newestWithout(key idleKey, id string) int {
-	all := c.idle[key]
-	for i := len(all) - 1; i >= 0; i-- {
-		if !key.matched || !slices.Contains(all[i].carried, hashID(id)) {
-			return i
-		}
-	}
-	return -1
-}
-
-// idSeed is the seed of the hashes of IDs. Two IDs with the same hash only cost a connection.
-var idSeed = maphash.MakeSeed()
-
-func hashID(id string) uint64 { return maphash.String(idSeed, id) }
-
 // send writes the request. A long request is written concurrently with the reading of
 // the response, since an endpoint may respond before it has read the whole request.
 func (x *exchange) send() {
@@ -338,22 +254,6 @@
 	}, nil
 }
 
-// idleTimeout returns the longest time for which a connection may be idle and still be
-// reused. It is shorter than the endpoint's own timeout, so that no request is sent on a
-// connection that the endpoint is closing.
-func idleTimeout(keepAlive string) time.Duration {
-	for field := range strings.SplitSeq(keepAlive, ",") {
-		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
-		if !ok || !strings.EqualFold(name, "timeout") {
-			continue
-		}
-		if seconds, err := strconv.ParseFloat(value, 64); err == nil {
-			return time.Duration(seconds * idleTimeoutShare * float64(time.Second))
-		}
-	}
-	return defaultIdleTimeoutMillis * time.Millisecond
-}
-
 // checkEnd returns an error unless the end of the connection, as reads show it, is an orderly one.
 // If the peer resets the connection during an upload, the kernel reports the error once: to a read
 // or to the write. After the write has taken it, a read ends as if the peer had closed. The write
@@ -401,27 +301,6 @@
 	x.connector.pushIdle(x.keyAfter(), x.conn)
 }
 
-// mayKeep reports whether another request may use the connection, provided that the exchange
-// ended well.
-func (x *exchange) mayKeep() bool {
-	return !x.request.needsNewConnection() && len(x.conn.carried) < maxRequestsPerConnection &&
-		(x.connector.keepsRefusing || x.accepted())
-}
-
-// accepted reports whether the response is a success.
-func (x *exchange) accepted() bool {
-	return x.status >= http.StatusOK && x.status < http.StatusMultipleChoices
-}
-
-// keyAfter returns the key under which the connection is kept. After a refusal only requests with
-// an ID may use it: if the endpoint sends the refusal once more, any other request would take
-// it for its own.
-func (x *exchange) keyAfter() idleKey {
-	key := x.request.idleKey()
-	key.matched = key.matched || !x.accepted()
-	return key
-}
-
 func (x *exchange) writeSucceeded() bool {
 	select {
 	case err := <-x.writeResult:
@@ -435,37 +314,3 @@
 	x.stopAbort()
 	_ = x.conn.Close()
 }
-
-func (c *Connector) pushIdle(key idleKey, k *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[key]) >= c.maxIdlePerAddress {
-		_ = k.Close()
-		return
-	}
-	c.idle[key] = append(c.idle[key], k)
-}
-
-// CloseIdle closes the idle connections whose timeout has passed and those to addresses
-// for which keep returns false.
-func (c *Connector) CloseIdle(keep func(address string) bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for key, all := range c.idle {
-		keepAddress := keep(key.address)
-		kept := all[:0]
-		for _, k := range all {
-			if keepAddress && now.Before(k.idleDeadline) {
-				kept = append(kept, k)
-				continue
-			}
-			_ = k.Close()
-		}
-		if len(kept) == 0 {
-			delete(c.idle, key)
-			continue
-		}
-		c.idle[key] = kept
-	}
-}
