connector: connections for reservations are kept after a refusal

Cause: since refused reservations are told apart from second copies of earlier refusals, each one cost a connection: only requests with an ID could use it any more.

Change: such connections stay with the calls without an ID. If a connection has carried a refusal, a further one is only accepted if no other response has arrived behind it; otherwise it was a copy, and the response behind it counts. A response that arrives after the exchange is read when the connection is used next or looked at (once a second), and passed to Request.ObserveLate; the relayer releases the reservation in it. Requests with an ID that meet it pass it on as well.

Waiting for a second answer after each refusal, which would delay every request while engines are full.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -49,14 +49,18 @@
 	Header http.Header
 	Body   []byte
 	// IDHeader and ID are the name and value of the header that the response must
-	// repeat. With an empty IDHeader every response is accepted. Such a request never uses
-	// a connection that carried a request with an ID or a refusal, since it would accept a
-	// late or second response as its own. For the same reason a request never uses a
-	// connection that carried its ID before.
+	// repeat. With an empty IDHeader every response is accepted, unless it is a refusal behind
+	// which another response has already arrived. Such a request never uses a connection that
+	// carried a request with an ID, since it would accept a late response to that one as its own.
+	// For the same reason a request never uses a connection that carried its ID before.
 	IDHeader string
 	ID       string
 	// SingleUse has the request sent on a new connection, which is not kept.
 	SingleUse bool
+	// ObserveLate, if set, is called with a response that arrives after the exchange of a request
+	// without an ID has ended: the response of the exchange was then one to an earlier request,
+	// sent once more. It may be called in another goroutine.
+	ObserveLate func(status int, body []byte)
 	// ObserveHead, if set, is called with the head of each response on the connection while
 	// it carries the request: interim ones, responses to earlier requests, and its own.
 	ObserveHead func(status int, header http.Header)
@@ -81,7 +85,7 @@
 	dial              DialFunc
 	dialTimeoutMillis int64
 	maxIdlePerAddress int
-	// keepsRefusing is true if a connection may be kept after a refusal, for requests with an ID.
+	// keepsRefusing is true if a connection may be kept after a refusal.
 	keepsRefusing bool
 
 	// mu guards everything below.
@@ -97,6 +101,10 @@
 	idleDeadline time.Time
 	// carried holds the hashes of the IDs of all requests that the connection carried.
 	carried []uint64
+	// refused is true once a request without an ID got a response that is no success.
+	refused bool
+	// late, if set, is called with a response that arrives while the connection is idle.
+	late func(status int, body []byte)
 }
 
 // exchange is one request with its connection and response.
@@ -227,8 +235,16 @@
 			return nil, err
 		}
 		if x.request.IDHeader == "" || response.Header.Get(x.request.IDHeader) == x.request.ID {
+			if x.isCopy(response) {
+				continue
+			}
 			return response, nil
 		}
+		if x.conn.late != nil && response.SelfDelimiting && response.Header.Get(x.request.IDHeader) == "" {
+			x.conn.passLate(response.Status, response)
+			x.conn.late = nil
+			continue
+		}
 		n, err := io.Copy(io.Discard, io.LimitReader(response.body, maxStaleBodyBytes))
 		if err != nil || n == maxStaleBodyBytes || !response.SelfDelimiting {
 			return nil, ErrMismatchedResponse
@@ -294,11 +310,9 @@
 		_ = x.conn.Close()
 		return
 	}
-	if x.request.IDHeader != "" {
-		x.conn.carried = append(x.conn.carried, hashID(x.request.ID))
-	}
+	x.recordOutcome()
 	x.conn.idleDeadline = time.Now().Add(idleTimeout(x.keepAlive))
-	x.connector.pushIdle(x.keyAfter(), x.conn)
+	x.connector.pushIdle(x.request.idleKey(), x.conn)
 }
 
 func (x *exchange) writeSucceeded() bool {
--- a/connector/idle.go
+++ b/connector/idle.go
@@ -45,10 +45,10 @@
 		if k == nil {
 			return nil
 		}
-		if time.Now().Before(k.idleDeadline) && k.reader.Buffered() == 0 && isReusable(k.Conn) {
+		if time.Now().Before(k.idleDeadline) && k.reader.Buffered() == 0 && stateOf(k.Conn) == socketQuiet {
 			return k
 		}
-		_ = k.Close()
+		k.drop()
 	}
 }
 
@@ -120,15 +120,6 @@
 	return x.status >= http.StatusOK && x.status < http.StatusMultipleChoices
 }
 
-// keyAfter returns the key under which the connection is kept. After a refusal only requests with
-// an ID may use it: if the endpoint sends the refusal once more, any other request would take
-// it for its own.
-func (x *exchange) keyAfter() idleKey {
-	key := x.request.idleKey()
-	key.matched = key.matched || !x.accepted()
-	return key
-}
-
 func (c *Connector) pushIdle(key idleKey, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,8 +130,8 @@
 	c.idle[key] = append(c.idle[key], k)
 }
 
-// CloseIdle closes the idle connections whose timeout has passed and those to addresses
-// for which keep returns false.
+// CloseIdle closes the idle connections whose timeout has passed, those to addresses for which
+// keep returns false, and those on which a late response has arrived.
 func (c *Connector) CloseIdle(keep func(address string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -149,11 +140,11 @@
 		keepAddress := keep(key.address)
 		kept := all[:0]
 		for _, k := range all {
-			if keepAddress && now.Before(k.idleDeadline) {
+			if keepAddress && now.Before(k.idleDeadline) && !k.owes() {
 				kept = append(kept, k)
 				continue
 			}
-			_ = k.Close()
+			k.drop()
 		}
 		if len(kept) == 0 {
 			delete(c.idle, key)
--- a/connector/network.go
+++ b/connector/network.go
@@ -25,24 +25,41 @@
 	return tcpDialer.DialContext(ctx, network, address)
 }
 
-// isReusable reports whether an idle connection is open and has no unread bytes,
-// which would belong to no request. It assumes so for a connection without a file
-// descriptor.
-func isReusable(c net.Conn) bool {
+// socketState is what the socket of an idle connection shows.
+type socketState int
+
+// States of a socket. A connection without a file descriptor counts as quiet.
+const (
+	socketQuiet socketState = iota
+	// socketReadable means that bytes have arrived that were not read.
+	socketReadable
+	socketEnded
+)
+
+// stateOf returns the state of the socket of a connection.
+func stateOf(c net.Conn) socketState {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return socketQuiet
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return socketEnded
 	}
-	reusable := false
+	state := socketEnded
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		reusable = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EWOULDBLOCK:
+			state = socketQuiet
+		case err == nil && n > 0:
+			state = socketReadable
+		}
 		return true
 	})
-	return err == nil && reusable
+	if err != nil {
+		return socketEnded
+	}
+	return state
 }
--- a/emulator/scripted.go
+++ b/emulator/scripted.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // ConnectionEnd is what a [ScriptedServer] does with a connection after an answer.
@@ -23,8 +24,12 @@
 
 // ScriptedAnswer is the answer of a [ScriptedServer] to one request.
 type ScriptedAnswer struct {
-	// Text is sent as it is.
-	Text string
+	// Text is sent as it is, and Later, if set, after a pause of LaterMillis.
+	Text        string
+	Later       string
+	LaterMillis int
+	// Sent, if set, is called once all of that has been sent.
+	Sent func()
 	End  ConnectionEnd
 	// Early has the answer sent once the head of the request has been read. The body stays
 	// unread unless the end is CloseOrderly.
@@ -123,6 +128,15 @@
 		if _, err := io.WriteString(c, answer.Text); err != nil {
 			return
 		}
+		if answer.Later != "" {
+			time.Sleep(time.Duration(answer.LaterMillis) * time.Millisecond)
+			if _, err := io.WriteString(c, answer.Later); err != nil {
+				return
+			}
+		}
+		if answer.Sent != nil {
+			answer.Sent()
+		}
 		switch answer.End {
 		case CloseOrderly:
 			closeSending(c)
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -115,6 +115,9 @@
 	releases bool
 	// accept, if set, returns an error if the response cannot be the one to this call.
 	accept func(status int, body []byte) error
+	// observeLate, if set, is called with the response to this call if it arrives after another one
+	// was taken for it.
+	observeLate func(status int, body []byte)
 }
 
 // doControl makes a control call. It returns the response's status and body. If the
@@ -131,6 +134,7 @@
 	}
 	response, err := send(ctx, e, connector.Request{
 		Address: e.Address, Method: call.method, Target: call.target, Host: e.Address, Header: header, Body: call.body,
+		ObserveLate: call.observeLate,
 	})
 	if err != nil {
 		return 0, nil, err
--- a/relayer/placing.go
+++ b/relayer/placing.go
@@ -146,7 +146,8 @@
 		p.reservationID = id
 		return t.reservations.record(e, id)
 	}
-	status, _, err := t.doControl(ctx, e, controlCall{method: http.MethodPost, target: target, body: body, accept: accept})
+	call := controlCall{method: http.MethodPost, target: target, body: body, accept: accept, observeLate: t.lateReservation(e)}
+	status, _, err := t.doControl(ctx, e, call)
 	switch {
 	case errors.Is(err, errInvalidReservation):
 		return explainer.InvalidResponse
@@ -160,6 +161,19 @@
 	return ""
 }
 
+// lateReservation returns a function that releases a reservation that an engine confirms after
+// the request has gone on without it.
+func (t *task) lateReservation(e figseam.ListedEndpoint) func(status int, body []byte) {
+	return func(status int, body []byte) {
+		id, err := t.Codec.DecodeReservationID(body)
+		if status != http.StatusOK || err != nil {
+			return
+		}
+		t.Log.Debug().Str("endpoint", e.ID).Str("reservation", id).Msg("releasing a reservation that was confirmed late")
+		t.releaseAsync(e, t.Codec.ReservationReleasePath(id))
+	}
+}
+
 // expectedFirstEventMillis returns the expected time from placement to the first event,
 // including the safety margin.
 func (t *task) expectedFirstEventMillis() float64 {
