--- a/connector/idle.go
+++ b/connector/idle.go
@@ -31,7 +31,7 @@
 func (r Request) idleKey() idleKey { return idleKey{address: r.Address, matched: r.IDHeader != ""} }
 
 // needsNewConnection reports whether the request must not use a kept connection. Responses to
-// requests with an empty ID cannot be told apart.
+// requests with an empty ID cannot be distinguished.
 func (r Request) needsNewConnection() bool { return r.SingleUse || (r.IDHeader != "" && r.ID == "") }
 
 // popIdle returns an idle connection that the request may use, or nil, and closes those that no
@@ -140,7 +140,7 @@
 		keepAddress := keep(key.address)
 		kept := all[:0]
 		for _, k := range all {
-			if keepAddress && now.Before(k.idleDeadline) && !k.owes() {
+			if keepAddress && now.Before(k.idleDeadline) && !k.hasLate() {
 				kept = append(kept, k)
 				continue
 			}
--- a/connector/late.go
+++ b/connector/late.go
@@ -47,12 +47,12 @@
 // hasUnread reports whether bytes have arrived that no response was read from.
 func (k *conn) hasUnread() bool { return k.reader.Buffered() > 0 || stateOf(k.Conn) == socketReadable }
 
-// owes reports whether a late response has arrived that its request is to be told of.
-func (k *conn) owes() bool { return k.late != nil && k.hasUnread() }
+// hasLate reports whether a late response has arrived that has to be passed on.
+func (k *conn) hasLate() bool { return k.late != nil && k.hasUnread() }
 
 // drop closes an idle connection, and before that reads a late response in the background.
 func (k *conn) drop() {
-	if !k.owes() {
+	if !k.hasLate() {
 		_ = k.Close()
 		return
 	}
--- a/connector/network.go
+++ b/connector/network.go
@@ -25,7 +25,7 @@
 	return tcpDialer.DialContext(ctx, network, address)
 }
 
-// socketState is what the socket of an idle connection shows.
+// socketState is the state of the socket of an idle connection.
 type socketState int
 
 // States of a socket. A connection without a file descriptor counts as quiet.
--- a/connector/repeated_test.go
+++ b/connector/repeated_test.go
@@ -84,14 +84,14 @@
 }
 
 // TestLateResponseIsPassedOn guards against memory that an endpoint reserves for a request that was
-// told that there is none: its response comes only after an earlier refusal was sent once more.
+// refused: its response comes only after an earlier refusal was sent once more.
 func TestLateResponseIsPassedOn(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 7\r\n\r\nrefused"
 	const granted = "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\ngranted"
 	const matched = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
 	tests := []struct {
 		name string
-		// next is what happens to the connection after the late response.
+		// next uses or looks at the connection after the late response has arrived.
 		next func(t *testing.T, c *connector.Connector, request connector.Request)
 	}{
 		{"another call without an ID", func(t *testing.T, c *connector.Connector, request connector.Request) {
--- a/dialer/engine.go
+++ b/dialer/engine.go
@@ -145,7 +145,7 @@
 
 // confirm sends a request whose response only says that it was carried out. It uses a new
 // connection: on a kept one the confirmation of an earlier request, sent once more, could
-// not be told from that of this one.
+// not be distinguished from its own.
 func (e *engine) confirm(ctx context.Context, method, path string, body any) error {
 	request, err := e.newRequest(ctx, method, path, body)
 	if err != nil {
--- a/emulator/malformed.go
+++ b/emulator/malformed.go
@@ -16,7 +16,7 @@
 type framing struct {
 	name  string
 	frame func(body string) (fields, framed string)
-	// end is what happens to the connection after the answer.
+	// end is the end of the connection after the answer.
 	end ConnectionEnd
 }
 
--- a/emulator/scripted.go
+++ b/emulator/scripted.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// ConnectionEnd is what a [ScriptedServer] does with a connection after an answer.
+// ConnectionEnd is the way in which a [ScriptedServer] ends a connection after an answer.
 type ConnectionEnd int
 
 // Ends of a connection.
