relayer: only events go on with a stream

Callers saw: a stream had begun and broke off; the next engine answered 200 with the head of a stream, but the body was the text of an error, an error in JSON, or a whole head of another answer. That stood in the middle of the stream, before the events of the engine after it.

Change: if the caller has the beginning of the stream, each line of what a later answer sends must be blank, a comment or a field whose name has only letters, digits, hyphens and underscores. Otherwise the attempt failed, and another engine goes on after the last event. What the first engine sends is relayed as it is.

--- a/relayer/events.go
+++ b/relayer/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"unicode"
 
 	"github.com/figseam/figseam/limiter"
 )
@@ -100,6 +101,22 @@
 	return bytes.HasPrefix(event, dataField) || bytes.Contains(event, nextDataField)
 }
 
+// isEvent reports whether each line of a text is blank, a comment or a field with a name of letters,
+// digits, hyphens and underscores. The error of an engine, or the head of another response, is none.
+func isEvent(text []byte) bool {
+	for line := range bytes.SplitSeq(text, []byte("\n")) {
+		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		if bytes.ContainsFunc(name, notInFieldName) {
+			return false
+		}
+	}
+	return true
+}
+
+func notInFieldName(r rune) bool {
+	return r != '-' && r != '_' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
+}
+
 // eventID returns the ID of an event. It reports false if the event has no numeric ID.
 func eventID(event []byte) (int64, bool) {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/relayer/streaming.go
+++ b/relayer/streaming.go
@@ -109,10 +109,12 @@
 	return ""
 }
 
-// relayEvents relays each event once it is complete.
+// relayEvents relays each event once it is complete. If the caller has the beginning of the stream, it
+// relays nothing but events.
 func (s *stream) relayEvents(ctx context.Context, r *connector.Response, watch *eventWatch) figseam.Code {
 	reader := newEventReader(r, s.responseMemory)
 	defer reader.release()
+	continued := s.wroteHeader
 	for {
 		event, err := reader.next()
 		if errors.Is(err, io.EOF) {
@@ -121,6 +123,9 @@
 		if err != nil {
 			return errorCode(ctx, err)
 		}
+		if continued && !isEvent(event) {
+			return explainer.InvalidResponse
+		}
 		if hasData(event) {
 			watch.reset(s.eventTimeoutMillis())
 			s.inFlight.RecordResponse()
--- a/relayer/streaming_test.go
+++ b/relayer/streaming_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// TestErrorsAreNoEvents guards against the error of an engine in the middle of a stream that another
+// engine has begun.
+func TestErrorsAreNoEvents(t *testing.T) {
+	tests := []struct {
+		text string
+		want bool
+	}{
+		{"id: 1\ndata: {\"a\": [1, 2]}\n\n", true},
+		{"weight-versions: 3\nid: 1\ndata:x\r\n\r\n", true},
+		{": comment with blanks\n\n", true},
+		{"event: error\ndata\n\n", true},
+		{"\n\n", true},
+		{"{\"error\": \"failed\"}\n\n", false},
+		{"engine failed\n\n", false},
+		{"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\n", false},
+		{"id: 1\n<p>failed</p>\n\n", false},
+	}
+	for _, test := range tests {
+		require.Equal(t, test.want, isEvent([]byte(test.text)), "%q", test.text)
+	}
+}
+
 // endlessLine is a line without an end.
 type endlessLine struct{}
 
