--- a/dialer/call_test.go
+++ b/dialer/call_test.go
@@ -105,25 +105,29 @@
 		{"confirmation of an order", reconfigure, sized(ok, ""), sized(conflict, `{"error":"stale_fence"}`), figseam.ErrStaleFence},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			answered := map[int]int{}
-			calls := 0
-			server := &emulator.ScriptedServer{Answer: func(conn int, _ *http.Request) emulator.ScriptedAnswer {
-				calls++
-				answered[conn]++
-				switch {
-				case calls == 1:
-					return emulator.ScriptedAnswer{Text: test.first}
-				case answered[conn] == 2:
-					return emulator.ScriptedAnswer{Text: test.first + test.second}
-				}
-				return emulator.ScriptedAnswer{Text: test.second}
-			}}
-			client := &http.Client{Transport: connector.NewTransport(connector.TransportSettings{MaxIdlePerAddress: 4})}
-			defer client.CloseIdleConnections()
-			e := dialer.New(client).Engine(figseam.Endpoint{Name: "e", Address: "http://" + serve(t, server)})
-			_ = test.call(e)
-			require.ErrorIs(t, test.call(e), test.err)
-		})
+		for _, laterMillis := range []int{0, 20} {
+			t.Run(fmt.Sprintf("%s, its own answer %d ms later", test.name, laterMillis), func(t *testing.T) {
+				answered := map[int]int{}
+				calls := 0
+				server := &emulator.ScriptedServer{Answer: func(conn int, _ *http.Request) emulator.ScriptedAnswer {
+					calls++
+					answered[conn]++
+					switch {
+					case calls == 1:
+						return emulator.ScriptedAnswer{Text: test.first}
+					case answered[conn] == 2 && laterMillis == 0:
+						return emulator.ScriptedAnswer{Text: test.first + test.second}
+					case answered[conn] == 2:
+						return emulator.ScriptedAnswer{Text: test.first, Later: test.second, LaterMillis: laterMillis}
+					}
+					return emulator.ScriptedAnswer{Text: test.second}
+				}}
+				client := &http.Client{Transport: connector.NewTransport(connector.TransportSettings{MaxIdlePerAddress: 4})}
+				defer client.CloseIdleConnections()
+				e := dialer.New(client).Engine(figseam.Endpoint{Name: "e", Address: "http://" + serve(t, server)})
+				_ = test.call(e)
+				require.ErrorIs(t, test.call(e), test.err)
+			})
+		}
 	}
 }
