platform, matcher: the search for a route decides which routes are the same

Cause: two comparisons of hosts. platform compared host and prefix byte by byte, matcher looked hosts up without regard to letter case, so that the later route replaced the earlier one in the index.

The key has the letters of ASCII in lower case, no final dot and no empty port; ports and paths differ if their bytes differ. A request with a final dot now finds its route. Entries use DecodeStoredConfig: a configuration that an earlier version acknowledged stays in force after an upgrade, and is logged.

Ruled out: folding hosts in platform as well, which leaves two comparisons; taking port 80 for no port, since an instance does not know the scheme that callers use.

--- a/matcher/matcher_test.go
+++ b/matcher/matcher_test.go
@@ -16,6 +16,8 @@
 		{Name: "short", Host: "a.example", PathPrefix: "/x/"},
 		{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
 		{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+		{Name: "loopback", Host: "[::1]", PathPrefix: "/x/"},
+		{Name: "letter", Host: "k.example", PathPrefix: "/x/"},
 	}})
 }
 
@@ -33,6 +35,15 @@
 		{"b.example", "/y/", ""},
 		{"c.example", "/x/", ""},
 		{"a.example", "", ""},
+		{"a.example.", "/x/", "short"},
+		{"A.EXAMPLE.:8080", "/x/", "short"},
+		{"a.example:", "/x/", "short"},
+		{"a.example", "/%78/1", "all"},
+		{"a.example", "/X/1", "all"},
+		{"[::1]", "/x/", "loopback"},
+		{"[::1]:8080", "/x/", "loopback"},
+		{"::1", "/x/", ""},
+		{"\u212a.example", "/x/", ""},
 	}
 	for _, test := range tests {
 		t.Run(test.host+test.path, func(t *testing.T) {
@@ -83,3 +94,32 @@
 	require.Zero(t, x.RankCount("desk"))
 	require.Zero(t, x.Rank("desk", 2, 5))
 }
+
+// TestConflictIsWhatFindCannotTellApart guards against a comparison of routes that differs
+// from the search for them: hosts in another letter case were taken for different ones when a
+// configuration was checked, and for the same one when a request arrived.
+func TestConflictIsWhatFindCannotTellApart(t *testing.T) {
+	hosts := []string{
+		"a.example", "A.example", "a.EXAMPLE", "a.example.", "A.Example.", "a.example:", "a.example.:", "a.example..",
+		"a.example:80", "A.example.:80", "a.example:8080", "b.example", "\u212a.example", "k.example", "K.example",
+		"[::1]", "[::1]:80", "::1", "[0::1]", "",
+	}
+	prefixes := []string{"/x/", "/X/", "/%78/", "/x/y/", "//x/"}
+	for _, firstHost := range hosts {
+		for _, secondHost := range hosts {
+			for _, prefix := range prefixes {
+				x := matcher.New(&figseam.Table{Routes: []figseam.HostRoute{
+					{Name: "first", Host: firstHost, PathPrefix: "/x/"}, {Name: "second", Host: secondHost, PathPrefix: prefix},
+				}})
+				found, ok := x.Find(firstHost, "/x/1")
+				require.True(t, ok, "%q", firstHost)
+				if len(x.Conflicts()) == 0 {
+					require.Equal(t, "first", found.Name, "%q and %q%s", firstHost, secondHost, prefix)
+					continue
+				}
+				require.Equal(t, "second", found.Name, "%q and %q%s", firstHost, secondHost, prefix)
+				require.Equal(t, "first", x.Conflicts()[0].Hidden.Name)
+			}
+		}
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -129,9 +129,13 @@
 		if old != nil && old.Table().Version >= t.Version {
 			return
 		}
-		if !r.index.CompareAndSwap(old, matcher.New(t)) {
+		index := matcher.New(t)
+		if !r.index.CompareAndSwap(old, index) {
 			continue
 		}
+		for _, c := range index.Conflicts() {
+			r.Log.Warn().Uint64("version", t.Version).Str("route", c.Hidden.Name).Str("found", c.Found.Name).Msg("route is hidden by another one with the same host and prefix")
+		}
 		r.Quotas.SetAccounts(t.Accounts)
 		if old == nil {
 			close(r.tableSet)
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -133,7 +133,7 @@
 		e.log.Error().Err(err).Uint64("version", r.Document.Version).Msg("cannot decompress configuration")
 		return
 	}
-	table, err := platform.DecodeConfig(text)
+	table, err := platform.DecodeStoredConfig(text)
 	if err != nil {
 		e.log.Error().Err(err).Uint64("version", r.Document.Version).Msg("cannot decode configuration")
 		return
--- a/runner/stages.go
+++ b/runner/stages.go
@@ -132,7 +132,7 @@
 		s.log.Error().Err(err).Uint64("version", d.Version).Msg("cannot decompress configuration")
 		return
 	}
-	table, err := platform.DecodeConfig(text)
+	table, err := platform.DecodeStoredConfig(text)
 	if err != nil {
 		s.log.Error().Err(err).Uint64("version", d.Version).Msg("cannot decode configuration")
 		return
