--- a/connector/connector.go
+++ b/connector/connector.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -234,7 +235,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if x.request.IDHeader == "" || response.Header.Get(x.request.IDHeader) == x.request.ID {
+		if x.request.IDHeader == "" || x.repeatsID(response.Header) {
 			if x.isCopy(response) {
 				continue
 			}
@@ -253,6 +254,15 @@
 	return nil, ErrMismatchedResponse
 }
 
+// repeatsID reports whether a response repeats the ID of this request, and no other one.
+func (x *exchange) repeatsID(h http.Header) bool {
+	ids := h.Values(x.request.IDHeader)
+	if len(ids) == 0 {
+		return x.request.ID == ""
+	}
+	return !slices.ContainsFunc(ids, func(id string) bool { return id != x.request.ID })
+}
+
 func (x *exchange) readHeader() (*Response, error) {
 	h, err := x.conn.readResponse(&http.Request{Method: x.request.Method, Header: x.request.Header}, x.request.ObserveHead)
 	if err != nil {
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -62,6 +62,8 @@
 	}{
 		{"whole", completeResponse, "ok", nil, false},
 		{"response to another request first", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad" + completeResponse, "ok", nil, false},
+		{"response with two IDs first", "HTTP/1.1 200 OK\r\nId: 1\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad" + completeResponse, "ok", nil, false},
+		{"the ID twice", strings.Replace(completeResponse, "Id: 1", "Id: 1\r\nid: 1", 1), "ok", nil, false},
 		{"responses to other requests only", strings.Repeat("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad", 3), "", connector.ErrMismatchedResponse, false},
 		{"interim response first", "HTTP/1.1 100 Continue\r\n\r\n" + completeResponse, "ok", nil, false},
 		{"truncated", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 20\r\n\r\nok", "", nil, true},
