checker: a route that calls never get is a fault

Seen by operators: two routes of named objects to one service with one path prefix were published; calls got the first by name, with its rules on repeating, and the other one silently none.

Cause: the check compared only names, the search for a route service, method and prefix.

Change: Config.HiddenBy asks ServiceRoute, which finds the routes of calls, whether a route is found at its own prefix for each method that it names; otherwise the fault hidden_route names the route that hides it. Routes with other methods, and one route for a method beside one for all others, are accepted as far as each is found.

--- a/checker/check.go
+++ b/checker/check.go
@@ -22,6 +22,7 @@
 		seen[o.ID] = o
 		v.checkObject(o)
 	}
+	v.checkHiddenRoutes(objects)
 	slices.SortStableFunc(v.faults, func(a, b decoder.Fault) int {
 		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
 	})
@@ -143,6 +144,30 @@
 	}
 }
 
+// checkHiddenRoutes reports routes to a service that calls do not get although they match
+// them, because another route has the same path prefix.
+func (v *validator) checkHiddenRoutes(objects []Object) {
+	type place struct{ service, pathPrefix string }
+	samePlace := map[place]map[string]figseam.Route{}
+	for _, r := range v.config.Routes {
+		p := place{r.Service, r.PathPrefix}
+		if samePlace[p] == nil {
+			samePlace[p] = map[string]figseam.Route{}
+		}
+		samePlace[p][r.Name] = r
+	}
+	for _, o := range objects {
+		r, ok := o.Value.(figseam.Route)
+		if !ok || r.Service == "" {
+			continue
+		}
+		candidates := &figseam.Config{Routes: samePlace[place{r.Service, r.PathPrefix}]}
+		if other, hidden := candidates.HiddenBy(r); hidden {
+			v.addFault(o, "path_prefix", CodeHiddenRoute, "calls with this path prefix get route %q", other.Name)
+		}
+	}
+}
+
 // checkRequired reports an empty value as a missing field.
 func (v *validator) checkRequired(o Object, field, value string) {
 	if value == "" {
--- a/checker/check_test.go
+++ b/checker/check_test.go
@@ -111,3 +111,34 @@
 		require.True(t, ok, "%s", c.code)
 	}
 }
+
+// TestHiddenRoutesAreFaults guards against a route that is published and never found, so that its
+// calls run by the rules of another route.
+func TestHiddenRoutesAreFaults(t *testing.T) {
+	route := func(name, rest string) string {
+		return `{"kind":"route","name":"` + name + `","service":"shop-api","timeout_ms":5000` + rest + `}`
+	}
+	tests := []struct {
+		name   string
+		routes []string
+		hidden []string
+	}{
+		{"same prefix", []string{route("b", `,"path_prefix":"/x"`), route("a", `,"path_prefix":"/x"`)}, []string{"route/b"}},
+		{"no prefix", []string{route("a", ""), route("b", "")}, []string{"route/b"}},
+		{"longer prefix", []string{route("a", `,"path_prefix":"/x"`), route("b", `,"path_prefix":"/x/"`)}, nil},
+		{"other methods", []string{route("a", `,"methods":["GET"]`), route("b", `,"methods":["POST"]`)}, nil},
+		{"a method and the others", []string{route("a", `,"methods":["POST"]`), route("b", "")}, nil},
+		{"all methods before one", []string{route("a", ""), route("b", `,"methods":["POST"]`)}, []string{"route/b"}},
+		{"one shared method", []string{route("a", `,"methods":["GET","POST"]`), route("b", `,"methods":["POST","PUT"]`)}, []string{"route/b"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var hidden []string
+			for _, f := range parseAndCheck(append(validObjects[:len(validObjects):len(validObjects)], tt.routes...)) {
+				require.Equal(t, checker.CodeHiddenRoute, f.Code)
+				hidden = append(hidden, f.Object)
+			}
+			require.Equal(t, tt.hidden, hidden)
+		})
+	}
+}
--- a/checker/objects.go
+++ b/checker/objects.go
@@ -21,6 +21,7 @@
 	CodeMissingRole        figseam.Code = "missing_role"
 	CodeUnattainableTarget figseam.Code = "impossible_target"
 	CodeConflictingFields  figseam.Code = "conflicting_fields"
+	CodeHiddenRoute        figseam.Code = "hidden_route"
 )
 
 // Object is one configuration object with its position in a file.
--- a/config.go
+++ b/config.go
@@ -213,6 +213,22 @@
 	return best, found
 }
 
+// HiddenBy returns the route that calls get in place of a route to a service with the same path
+// prefix: for one of the methods that the route names, or, if it names none, for a method that no
+// other route names.
+func (c *Config) HiddenBy(r Route) (other Route, hidden bool) {
+	methods := r.Methods
+	if len(methods) == 0 {
+		methods = []string{""}
+	}
+	for _, m := range methods {
+		if found, ok := c.ServiceRoute(r.Service, m, r.PathPrefix); ok && found.Name != r.Name {
+			return found, true
+		}
+	}
+	return Route{}, false
+}
+
 func (r Route) matches(method, path string) bool {
 	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
 		return false
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -303,6 +303,13 @@
 		Action:      "Remove one.",
 		Since:       "0.1",
 	},
+	{
+		Code:        "hidden_route",
+		Title:       "Route is hidden by another",
+		Description: "Another route to the service has the same path prefix and gets the calls: of such routes, the first by name that accepts the method.",
+		Action:      "Name other methods, give it another path prefix, or remove it.",
+		Since:       "0.6",
+	},
 	{
 		Code:        "answered",
 		Title:       "Answered by an endpoint",
