gateway: names of services, schemes and fields are compared in one form

Seen by callers of named objects: a service whose name needs escapes in a path was not found (404) once anything else in the path was escaped, since the router then compares the escaped path; "bearer" in lower case was no credential, so that the account's limits did not count; one of two "objects" or "delete" lists of a change was published and the other dropped.

Change: the path is split in its escaped form, and only the service's name is unescaped; the scheme is compared without regard to letter case, as in platform/; a change with a repeated field is refused. The request ID of a call is derived from the path as it was sent, as the digest of the call is.

--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -154,10 +154,11 @@
 }
 
 // accountOf returns the account that is charged for a request. It is empty if the
-// request carries no bearer token.
+// request carries no bearer token. The scheme is compared without regard to letter case, as
+// RFC 9110 has it: otherwise "bearer" would evade the account's limits.
 func accountOf(r *http.Request) figseam.Account {
-	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
 		return ""
 	}
 	return figseam.Account(strings.TrimSpace(token))
@@ -170,6 +171,6 @@
 	if key == "" {
 		return figseam.NewRequestID()
 	}
-	sum := sha256.Sum256([]byte(string(accountOf(r)) + "\x00" + r.URL.Path + "\x00" + key))
+	sum := sha256.Sum256([]byte(string(accountOf(r)) + "\x00" + r.URL.EscapedPath() + "\x00" + key))
 	return figseam.RequestID(hex.EncodeToString(sum[:16]))
 }
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 
@@ -145,14 +147,7 @@
 }
 
 func (o *OperatorServer) serveChange(w http.ResponseWriter, r *http.Request) {
-	var body ChangeBody
-	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&body); err != nil {
-		writeProblem(w, figseam.NewRefusal(explainer.BadRequest, "body: %v", err))
-		return
-	}
-	change, err := body.change()
+	change, err := readChange(http.MaxBytesReader(w, r.Body, maxChangeBytes))
 	if err == nil {
 		var version uint64
 		version, err = o.publisher.Publish(r.Context(), change)
@@ -164,6 +159,29 @@
 	o.refuseChange(w, err)
 }
 
+// readChange reads the body of a request to change the configuration. It returns a
+// publisher.ValidationError if objects are malformed, and a refusal for any other fault. A
+// field that stands twice is a fault, since only one of its values would count.
+func readChange(r io.Reader) (c publisher.Change, err error) {
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return c, figseam.NewRefusal(explainer.BadRequest, "body: %v", err)
+	}
+	var body ChangeBody
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&body); err != nil {
+		return c, figseam.NewRefusal(explainer.BadRequest, "body: %v", err)
+	}
+	if c, err = body.change(); err != nil {
+		return c, err
+	}
+	if name, found := decoder.AmbiguousName(text[:d.InputOffset()]); found {
+		return c, figseam.NewRefusal(explainer.BadRequest, "body: several fields %q, of which letter case makes no difference", name)
+	}
+	return c, nil
+}
+
 // refuseChange sends the validation faults or the refusal in err. For any other error it
 // sends a NoQuorum refusal with an unknown outcome.
 func (o *OperatorServer) refuseChange(w http.ResponseWriter, err error) {
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -5,8 +5,6 @@
 	"net/url"
 	"strings"
 
-	"github.com/go-chi/chi/v5"
-
 	"github.com/figseam/figseam"
 	"github.com/figseam/figseam/dialer"
 	"github.com/figseam/figseam/explainer"
@@ -59,14 +57,24 @@
 	writeProblem(w, refusal)
 }
 
+// splitServicePath splits the escaped path of a service call into the name of the service, not
+// escaped, and the path at the service, which remains as the caller sent it.
+func splitServicePath(escaped string) (service, path string) {
+	first, rest, _ := strings.Cut(strings.TrimPrefix(escaped, "/"), "/")
+	service, err := url.PathUnescape(first)
+	if err != nil {
+		service = first
+	}
+	return service, "/" + rest
+}
+
 // readServiceCall reads and validates a service call and finds its route.
 func (c *CallerServer) readServiceCall(w http.ResponseWriter, r *http.Request, id figseam.RequestID) (forwarder.Request, *figseam.Refusal) {
 	config := c.config()
 	if config == nil {
 		return forwarder.Request{}, figseam.NewRefusal(explainer.NoConfig, "instance has no configuration yet")
 	}
-	service := chi.URLParam(r, "service")
-	path := "/" + strings.TrimPrefix(strings.TrimPrefix(r.URL.EscapedPath(), "/"+url.PathEscape(service)), "/")
+	service, path := splitServicePath(r.URL.EscapedPath())
 	route, ok := config.ServiceRoute(service, r.Method, path)
 	if !ok {
 		return forwarder.Request{}, figseam.NewRefusal(explainer.UnknownRoute, "no route leads to %s %s of service %q", r.Method, path, service)
