--- a/journaler/journal.go
+++ b/journaler/journal.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,9 +21,8 @@
 	temporaryName  = "temporary"
 )
 
-// ErrFailed is returned by every write after a write or sync failed. The contents of
-// the disk are then unknown, so the replica must stop.
-var ErrFailed = errors.New("journal failed earlier")
+// ErrClosed is returned by every write to a journal that was closed.
+var ErrClosed = errors.New("journal is closed")
 
 // CorruptionError reports damage that an interrupted write cannot have caused, such
 // as a damaged batch before an intact one.
@@ -58,16 +59,24 @@
 }
 
 // Journal is the open journal of a data directory. It is not safe for concurrent use.
+//
+// A write that fails, for example because the disk is full, changes nothing: the journal
+// remains usable, and holds what the writes before have stored. See [Journal.Append].
 type Journal struct {
 	disk         FileSystem
 	identity     string
 	identityHash uint64
 	hardState    HardState
 	sequence     uint64 // of the last batch, 0 before the first
-	file         File
-	segments     []string
-	sizeBytes    int64
-	failed       bool
+	// file is the open segment. Its first sizeBytes bytes are stored; if damaged is set, bytes
+	// of a failed write may follow.
+	file      File
+	segment   string
+	sizeBytes int64
+	damaged   bool
+	closed    bool
+	// obsolete lists files that hold nothing of the log and are still to be removed.
+	obsolete []string
 }
 
 // Open recovers the state from a data directory and opens its journal for appending.
@@ -76,6 +85,11 @@
 func Open(disk FileSystem) (j *Journal, state RecoveredState, err error) {
 	defer func() { err = eris.Wrap(err, "open journal") }()
 	j = &Journal{disk: disk}
+	// The files that are found must be there after a crash, too: a snapshot whose name was not
+	// synced could vanish after the log has gone on from it.
+	if err := disk.SyncDir(); err != nil {
+		return nil, RecoveredState{}, err
+	}
 	names, err := disk.List()
 	if err != nil {
 		return nil, RecoveredState{}, err
@@ -83,8 +97,7 @@
 	if err := j.readLatestSnapshot(names, &state); err != nil {
 		return nil, RecoveredState{}, err
 	}
-	size, err := j.readSegments(names, &state)
-	if err != nil {
+	if err := j.readSegments(names, &state); err != nil {
 		return nil, RecoveredState{}, err
 	}
 	if state.Identity == "" && state.Snapshot.Index > 0 {
@@ -94,25 +107,14 @@
 		return j.createFirstSegment(state)
 	}
 	j.identity, j.hardState = state.Identity, state.HardState
-	last := j.segments[len(j.segments)-1]
-	j.file, err = disk.OpenAppend(last, size)
-	if err != nil {
-		return nil, RecoveredState{}, err
-	}
-	return j, state, j.file.Sync()
+	return j, state, j.reopenSegment()
 }
 
 // createFirstSegment assigns an identity to a directory without one and creates its
-// first segment. It removes a segment whose creation was interrupted.
+// first segment.
 func (j *Journal) createFirstSegment(state RecoveredState) (*Journal, RecoveredState, error) {
 	j.identity = uuid.NewString()
 	j.identityHash = xxhash.Sum64String(j.identity)
-	for _, name := range j.segments {
-		if err := j.disk.Remove(name); err != nil {
-			return nil, RecoveredState{}, err
-		}
-	}
-	j.segments = nil
 	state.Identity = j.identity
 	return j, state, j.startSegment(nil)
 }
@@ -138,61 +140,72 @@
 	return nil
 }
 
-// readSegments reads all segments and returns the offset in the last one at which
-// appending continues.
-func (j *Journal) readSegments(names []string, state *RecoveredState) (int64, error) {
+// readSegments reads all segments and determines the one to which batches are appended.
+//
+// A segment begins with everything that follows the snapshot for which it was created, so it
+// supersedes those before it; their removal may have failed or been lost. A segment without
+// an intact first batch, or whose first batch is not newer than the segment before it, is
+// left from a start that failed, after which the journal went on with the segment before it.
+func (j *Journal) readSegments(names []string, state *RecoveredState) error {
+	tornBytes := int64(0)
 	for _, name := range names {
-		if strings.HasPrefix(name, segmentPrefix) {
-			j.segments = append(j.segments, name)
+		if !strings.HasPrefix(name, segmentPrefix) {
+			continue
 		}
-	}
-	sizes := make([]int64, len(j.segments))
-	for i, name := range j.segments {
 		data, err := j.disk.ReadFile(name)
 		if err != nil {
-			return 0, err
+			return err
 		}
+		first, isStart := j.segmentStart(data)
+		if !isStart {
+			if err := j.checkAbandoned(name, data); err != nil {
+				return err
+			}
+			j.obsolete = append(j.obsolete, name)
+			state.TruncatedBytes += int64(len(data))
+			continue
+		}
+		if tornBytes > 0 && first != j.sequence+1 {
+			return &CorruptionError{File: j.segment, Offset: j.sizeBytes, Detail: "damaged batch before a later segment"}
+		}
+		if j.segment != "" {
+			j.obsolete = append(j.obsolete, j.segment)
+		}
+		j.segment, j.sequence = name, first-1
 		intact, err := j.readSegment(name, data, state)
 		if err != nil {
-			return 0, err
-		}
-		sizes[i] = int64(intact)
-		torn := len(data) - intact
-		if torn > 0 && i < len(j.segments)-1 {
-			return 0, &CorruptionError{File: name, Offset: sizes[i], Detail: "damaged batch before a later segment"}
+			return err
 		}
-		state.TruncatedBytes += int64(torn)
-		j.sizeBytes += sizes[i]
-	}
-	if err := j.checkContiguous(state); err != nil {
-		return 0, err
+		j.sizeBytes = int64(intact)
+		tornBytes = int64(len(data) - intact)
 	}
-	return j.removeEmptySegment(sizes)
+	state.TruncatedBytes += tornBytes
+	return j.checkContiguous(state)
 }
 
-// removeEmptySegment removes the last segment if its first batch was torn, unless it
-// is the only one. It returns the size of the segment to which batches are appended.
-func (j *Journal) removeEmptySegment(sizes []int64) (int64, error) {
-	last := len(sizes) - 1
-	if last < 0 {
-		return 0, nil
+// segmentStart returns the sequence number of a segment's first batch, and whether the segment
+// supersedes those that were read before.
+func (j *Journal) segmentStart(data []byte) (sequence uint64, ok bool) {
+	b, _, ok := decodeBatch(j.identityHash, 0, data)
+	if !ok || b.Identity == "" {
+		return 0, false
 	}
-	if last == 0 || sizes[last] > 0 {
-		return sizes[last], nil
-	}
-	if err := j.disk.Remove(j.segments[last]); err != nil {
-		return 0, err
+	sequence = binary.LittleEndian.Uint64(data[12:])
+	return sequence, sequence > j.sequence
+}
+
+// checkAbandoned returns an error if a segment without an intact first batch holds later ones.
+func (j *Journal) checkAbandoned(name string, data []byte) error {
+	if next := findLaterBatch(j.identityHash, j.sequence, data); next >= 0 {
+		return &CorruptionError{File: name, Detail: fmt.Sprintf("damaged batch before a whole one at offset %d", next)}
 	}
-	j.segments = j.segments[:last]
-	// The removal must be durable: if the file reappeared, a later torn tail of the
-	// previous segment would be taken for corruption before a later segment.
-	return sizes[last-1], j.disk.SyncDir()
+	return nil
 }
 
 // checkContiguous returns an error if entries are missing after the snapshot.
 func (j *Journal) checkContiguous(state *RecoveredState) error {
 	if len(state.Entries) > 0 && state.Entries[0].Index > state.Snapshot.Index+1 {
-		return &CorruptionError{File: j.segments[0], Detail: fmt.Sprintf(
+		return &CorruptionError{File: j.segment, Detail: fmt.Sprintf(
 			"entries begin at %d, the snapshot ends at %d", state.Entries[0].Index, state.Snapshot.Index)}
 	}
 	return nil
@@ -203,7 +216,7 @@
 func (j *Journal) readSegment(name string, data []byte, state *RecoveredState) (int, error) {
 	offset := 0
 	for offset < len(data) {
-		b, size, ok := decodeBatch(j.identityHash, j.expectedSequence(), data[offset:])
+		b, size, ok := decodeBatch(j.identityHash, j.sequence+1, data[offset:])
 		if !ok {
 			if next := findLaterBatch(j.identityHash, j.sequence, data[offset:]); next >= 0 {
 				return 0, &CorruptionError{File: name, Offset: int64(offset), Detail: fmt.Sprintf(
@@ -211,7 +224,7 @@
 			}
 			return offset, nil
 		}
-		j.sequence = binary.LittleEndian.Uint64(data[offset+12:])
+		j.sequence++
 		if err := j.replay(name, offset, b, state); err != nil {
 			return 0, err
 		}
@@ -220,15 +233,6 @@
 	return offset, nil
 }
 
-// expectedSequence returns the sequence number that the next batch must have, or 0 for
-// any.
-func (j *Journal) expectedSequence() uint64 {
-	if j.sequence == 0 {
-		return 0
-	}
-	return j.sequence + 1
-}
-
 // replay applies a batch that was read at an offset of a segment to the recovered
 // state.
 func (j *Journal) replay(name string, offset int, b batch, state *RecoveredState) error {
@@ -279,10 +283,11 @@
 // Identity returns the data directory's identity.
 func (j *Journal) Identity() string { return j.identity }
 
-// SizeBytes returns the total size of all segments in bytes.
+// SizeBytes returns the size of the open segment in bytes.
 func (j *Journal) SizeBytes() int64 { return j.sizeBytes }
 
-// SaveHardState stores the term and vote. They are durable when it returns nil.
+// SaveHardState stores the term and vote. They are durable when it returns nil. For errors
+// see [Journal.Append].
 func (j *Journal) SaveHardState(h HardState) (err error) {
 	defer func() { err = eris.Wrap(err, "save ballot") }()
 	if err := j.write(batch{HardState: &h}); err != nil {
@@ -293,51 +298,54 @@
 }
 
 // Append removes all entries from truncateFrom on, unless it is 0, and appends
-// entries. The change is durable when it returns nil.
+// entries. The change is durable when it returns nil. After an error the journal is as
+// before, and the change may be tried again; only if the process ends before the next
+// successful write, the journal may be recovered with the change.
 func (j *Journal) Append(truncateFrom uint64, entries []Entry) (err error) {
 	defer func() { err = eris.Wrap(err, "append entries") }()
 	return j.write(batch{TruncateFrom: truncateFrom, Entries: entries})
 }
 
 // SaveSnapshot stores a snapshot, starts a new segment with the entries that follow
-// it, and removes the segments and snapshots that these supersede.
+// it, and removes the segments and snapshots that these supersede. After an error the journal
+// goes on with the segment that it had; the snapshot may be stored nevertheless. Files that
+// cannot be removed are no error, see [Journal.ObsoleteFiles].
 func (j *Journal) SaveSnapshot(s Snapshot, following []Entry) (err error) {
 	defer func() { err = eris.Wrap(err, "save snapshot") }()
-	if j.failed {
-		return ErrFailed
-	}
-	defer func() { j.failed = j.failed || err != nil }()
-	if err := j.writeSnapshot(s); err != nil {
+	// A segment that is followed by another one must not end with a damaged batch.
+	if err := j.repair(); err != nil {
 		return err
 	}
-	if err := j.file.Close(); err != nil {
+	if err := j.writeSnapshot(s); err != nil {
 		return err
 	}
-	old := j.segments
-	j.segments, j.sizeBytes = nil, 0
+	superseded, former := j.segment, j.file
 	if err := j.startSegment(following); err != nil {
 		return err
 	}
-	return j.removeSuperseded(old, s.Index)
+	_ = former.Close()
+	j.obsolete = append(j.obsolete, superseded)
+	j.keep(snapshotName(s.Index))
+	j.listOldSnapshots(s.Index)
+	j.removeObsolete()
+	return nil
 }
 
-func (j *Journal) writeSnapshot(s Snapshot) error {
-	_ = j.disk.Remove(temporaryName)
-	file, err := j.disk.Create(temporaryName)
-	if err != nil {
-		return err
-	}
+func (j *Journal) writeSnapshot(s Snapshot) (err error) {
 	data, err := encodeSnapshot(s)
 	if err != nil {
 		return err
 	}
-	if _, err := file.Write(data); err != nil {
-		return err
-	}
-	if err := file.Sync(); err != nil {
+	if err := j.removeIfExists(temporaryName); err != nil {
 		return err
 	}
-	if err := file.Close(); err != nil {
+	defer func() {
+		if err != nil {
+			// The part that was written would take room that a full disk lacks.
+			_ = j.disk.Remove(temporaryName)
+		}
+	}()
+	if err := j.writeFile(temporaryName, data); err != nil {
 		return err
 	}
 	if err := j.disk.Rename(temporaryName, snapshotName(s.Index)); err != nil {
@@ -346,59 +354,116 @@
 	return j.disk.SyncDir()
 }
 
-func (j *Journal) removeSuperseded(segments []string, index uint64) error {
-	for _, name := range segments {
-		if err := j.disk.Remove(name); err != nil {
-			return err
-		}
+// writeFile creates a file with synced contents.
+func (j *Journal) writeFile(name string, data []byte) error {
+	file, err := j.disk.Create(name)
+	if err != nil {
+		return err
 	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	return errors.Join(err, file.Close())
+}
+
+// ObsoleteFiles returns the number of files that hold nothing of the log and could not be
+// removed yet. The next snapshot tries again.
+func (j *Journal) ObsoleteFiles() int { return len(j.obsolete) }
+
+// listOldSnapshots adds all snapshots but the one at an index to the obsolete files.
+func (j *Journal) listOldSnapshots(index uint64) {
 	names, err := j.disk.List()
 	if err != nil {
-		return err
+		// The next snapshot lists them.
+		return
 	}
 	for _, name := range names {
-		if strings.HasPrefix(name, snapshotPrefix) && name != snapshotName(index) {
-			if err := j.disk.Remove(name); err != nil {
-				return err
-			}
+		if strings.HasPrefix(name, snapshotPrefix) && name != snapshotName(index) && !slices.Contains(j.obsolete, name) {
+			j.obsolete = append(j.obsolete, name)
 		}
 	}
-	return j.disk.SyncDir()
+}
+
+// keep takes a file that is in use again from the obsolete files.
+func (j *Journal) keep(name string) {
+	j.obsolete = slices.DeleteFunc(j.obsolete, func(other string) bool { return other == name })
+}
+
+func (j *Journal) removeIfExists(name string) error {
+	if err := j.disk.Remove(name); !errors.Is(err, fs.ErrNotExist) {
+		return err
+	}
+	return nil
+}
+
+// removeObsolete removes the obsolete files as far as the disk permits it.
+func (j *Journal) removeObsolete() {
+	var failed []string
+	for _, name := range j.obsolete {
+		if j.removeIfExists(name) != nil {
+			failed = append(failed, name)
+		}
+	}
+	if err := j.disk.SyncDir(); err != nil {
+		// Files whose removal is lost in a crash are superseded when the journal is opened.
+		return
+	}
+	j.obsolete = failed
 }
 
 // startSegment creates a segment whose first batch holds the identity, the hard state
-// and entries.
-func (j *Journal) startSegment(entries []Entry) error {
+// and entries, and makes it the open one. After an error the former segment remains open.
+func (j *Journal) startSegment(entries []Entry) (err error) {
+	hardState := j.hardState
+	data, err := encodeBatch(j.identityHash, j.sequence+1, batch{Identity: j.identity, HardState: &hardState, Entries: entries})
+	if err != nil {
+		return err
+	}
 	name := fmt.Sprintf("%s%020d", segmentPrefix, j.sequence+1)
+	// A start that failed may have left a file with this name.
+	if err := j.removeIfExists(name); err != nil {
+		return err
+	}
 	file, err := j.disk.Create(name)
 	if err != nil {
 		return err
 	}
-	j.file = file
-	j.segments = append(j.segments, name)
-	hardState := j.hardState
-	if err := j.write(batch{Identity: j.identity, HardState: &hardState, Entries: entries}); err != nil {
+	if _, err = file.Write(data); err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = j.disk.SyncDir()
+	}
+	if err != nil {
+		_ = file.Close()
+		if j.disk.Remove(name) != nil && !slices.Contains(j.obsolete, name) {
+			j.obsolete = append(j.obsolete, name)
+		}
 		return err
 	}
-	return j.disk.SyncDir()
+	j.keep(name)
+	j.file, j.segment, j.sizeBytes = file, name, int64(len(data))
+	j.sequence++
+	return nil
 }
 
-// write appends one batch and syncs it. After a failure the journal accepts no
-// further batches, because the contents of the disk are unknown.
+// write appends one batch and syncs it.
 func (j *Journal) write(b batch) error {
-	if j.failed {
-		return ErrFailed
+	if err := j.repair(); err != nil {
+		return err
 	}
 	data, err := encodeBatch(j.identityHash, j.sequence+1, b)
 	if err != nil {
 		return err
 	}
-	if _, err := j.file.Write(data); err != nil {
-		j.failed = true
-		return err
+	if _, err = j.file.Write(data); err == nil {
+		err = j.file.Sync()
 	}
-	if err := j.file.Sync(); err != nil {
-		j.failed = true
+	if err != nil {
+		j.damaged = true
+		// What was written is removed at once if the disk permits it, or by the next write.
+		_ = j.repair()
 		return err
 	}
 	j.sequence++
@@ -406,9 +471,38 @@
 	return nil
 }
 
-// Close closes the last segment. Later writes fail with [ErrFailed].
+// repair removes what a failed write may have left at the end of the open segment.
+func (j *Journal) repair() error {
+	if j.closed {
+		return ErrClosed
+	}
+	if !j.damaged {
+		return nil
+	}
+	_ = j.file.Close()
+	return j.reopenSegment()
+}
+
+// reopenSegment opens the last segment for appending after its stored bytes. It truncates
+// what follows them: after a failed sync the kernel may report later syncs as successful
+// without storing the bytes, so they must be written anew.
+func (j *Journal) reopenSegment() error {
+	j.damaged = true
+	file, err := j.disk.OpenAppend(j.segment, j.sizeBytes)
+	if err != nil {
+		return err
+	}
+	j.file = file
+	if err := file.Sync(); err != nil {
+		return errors.Join(err, file.Close())
+	}
+	j.damaged = false
+	return nil
+}
+
+// Close closes the open segment. Later writes fail with [ErrClosed].
 func (j *Journal) Close() error {
-	j.failed = true
+	j.closed = true
 	return j.file.Close()
 }
 
