replicator: a replica whose disk refuses writes serves again without a restart

Seen by operators: a voter on a full disk stopped and was opened anew every half second, with all its connections to entries, voters and operators; a named-object instance ended. Callers whose change was in the batch that the leader could not store got no answer until their own time was over.

Ruled out: stopping as before and opening faster, which still drops all connections; leading on without the own disk, since the next loss then loses what was confirmed.

--- a/replicator/applying.go
+++ b/replicator/applying.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -95,7 +96,7 @@
 	n.applyMu.Lock()
 	defer n.applyMu.Unlock()
 	n.mu.Lock()
-	due := n.appliedIndex-n.snapshotIndex >= n.settings.SnapshotThresholdEntries
+	due := n.appliedIndex-n.snapshotIndex >= n.settings.SnapshotThresholdEntries && !time.Now().Before(n.snapshotRetry)
 	n.mu.Unlock()
 	if !due {
 		return nil
@@ -104,8 +105,8 @@
 }
 
 // takeSnapshot stores the state machines' state and discards the entries that it
-// covers, except the most recent ones, which slow peers may still need. The
-// caller holds applyMu.
+// covers, except the most recent ones, which slow peers may still need. If the disk refuses
+// the snapshot, the replica goes on without it. The caller holds applyMu.
 func (n *Node) takeSnapshot() error {
 	states := machineStates{}
 	for name, m := range n.machines {
@@ -132,8 +133,8 @@
 	}
 	following := n.entries[index-n.baseIndex:]
 	s := journaler.Snapshot{Index: index, Term: term, LogMillis: n.logMillisAt(index), Data: data, Membership: membership}
-	if err := n.journal.SaveSnapshot(s, following); err != nil {
-		return err
+	if !n.saveSnapshot(s, following) {
+		return nil
 	}
 	n.snapshotIndex = index
 	if trailing := n.settings.SnapshotThresholdEntries / trailingEntriesDivisor; index > n.baseIndex+trailing {
@@ -190,7 +191,10 @@
 		return AppendReply{Successor: n.successorOf(r.Header)}
 	}
 	if !n.acceptLeader(r.Header) {
-		return AppendReply{Term: n.term}
+		return n.rejectLeader(r.Header)
+	}
+	if time.Now().Before(n.snapshotRetry) {
+		return AppendReply{}
 	}
 	if r.Offset == 0 {
 		n.incomingSnapshot = snapshotTransfer{term: r.Header.Term, index: r.SnapshotIndex}
@@ -204,37 +208,41 @@
 	}
 	data := n.incomingSnapshot.data
 	n.incomingSnapshot = snapshotTransfer{}
-	if err := n.installSnapshot(data); err != nil {
+	installed, err := n.installSnapshot(data)
+	switch {
+	case err != nil:
 		n.fail(err)
 		return AppendReply{}
+	case !installed:
+		return AppendReply{}
 	}
 	return AppendReply{Term: n.term, Success: true, MatchIndex: n.snapshotIndex}
 }
 
 // installSnapshot replaces the state machines' state and the log by an encoded
-// snapshot, unless its entries are already applied. The caller holds applyMu and
-// mu.
-func (n *Node) installSnapshot(data []byte) error {
+// snapshot, unless its entries are already applied. It reports false if the disk refuses the
+// snapshot; the state and the log then are as before. The caller holds applyMu and mu.
+func (n *Node) installSnapshot(data []byte) (installed bool, err error) {
 	var s journaler.Snapshot
 	if err := cbor.Unmarshal(data, &s); err != nil {
-		return err
+		return false, err
 	}
 	if s.Index <= n.appliedIndex {
-		return nil
+		return true, nil
 	}
 	var membership Membership
 	if err := cbor.Unmarshal(s.Membership, &membership); err != nil {
-		return err
+		return false, err
 	}
 	var following []journaler.Entry
 	if term, ok := n.termAt(s.Index); ok && term == s.Term {
 		following = append(following, n.entries[s.Index-n.baseIndex:]...)
 	}
-	if err := n.journal.SaveSnapshot(s, following); err != nil {
-		return err
+	if !n.saveSnapshot(s, following) {
+		return false, nil
 	}
 	if err := n.restoreMachines(s.Data); err != nil {
-		return err
+		return false, err
 	}
 	n.entries, n.baseIndex, n.baseTerm, n.snapshotIndex = following, s.Index, s.Term, s.Index
 	n.commitIndex, n.appliedIndex = max(n.commitIndex, s.Index), s.Index
@@ -243,5 +251,5 @@
 	for _, e := range n.entries {
 		n.recordAppended(e)
 	}
-	return nil
+	return true, nil
 }
--- a/replicator/group_test.go
+++ b/replicator/group_test.go
@@ -97,6 +97,7 @@
 
 func (g *group) voterNames() []figseam.InstanceID { return g.voters }
 
+// start opens and runs a replica. While its disk is full, it is opened again every half second.
 func (g *group) start(t require.TestingT, name figseam.InstanceID) {
 	r := g.replicas[name]
 	l := &commandLog{}
@@ -114,6 +115,10 @@
 		}
 	}
 	node, err := replicator.Open(settings, r.disk, link{g, name}, machines, zerolog.Nop())
+	for errors.Is(err, emulator.ErrDiskFull) {
+		time.Sleep(500 * time.Millisecond)
+		node, err = replicator.Open(settings, r.disk, link{g, name}, machines, zerolog.Nop())
+	}
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	g.mu.Lock()
--- a/replicator/leaving.go
+++ b/replicator/leaving.go
@@ -17,7 +17,7 @@
 // leaveGroup has the group remove this replica, which is about to stop, from its voters if
 // there are more of them than the target. Otherwise the loss of another voter could cost
 // the group its majority until the leader notices that this one does not reply. The
-// returned error is that of the disk if it fails meanwhile.
+// returned error is that of a replica that cannot go on meanwhile.
 func (n *Node) leaveGroup(ctx context.Context) error {
 	n.mu.Lock()
 	n.leaving = true
@@ -28,7 +28,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case err := <-n.diskFailure:
+		case err := <-n.failure:
 			return err
 		case <-time.After(leaveRetryDelayMillis * time.Millisecond):
 		}
--- a/replicator/messages.go
+++ b/replicator/messages.go
@@ -95,6 +95,8 @@
 	CommitIndex   uint64     `cbor:"6,keyasint" json:"commit"`
 	LastIndex     uint64     `cbor:"7,keyasint" json:"last"`
 	Membership    Membership `cbor:"8,keyasint" json:"group"`
+	// DiskError is the error of the last write to the disk; empty if it succeeded.
+	DiskError string `cbor:"9,keyasint,omitempty" json:"disk_error,omitempty"`
 }
 
 // JoinRequest requests the addition of a new replica to the group.
--- a/replicator/node.go
+++ b/replicator/node.go
@@ -98,12 +98,13 @@
 
 // Node is a replica of the log. Its methods are safe for concurrent use.
 type Node struct {
-	settings    Settings
-	self        Replica
-	transport   Transport
-	machines    map[string]figseam.StateMachine
-	log         zerolog.Logger
-	diskFailure chan error
+	settings  Settings
+	self      Replica
+	transport Transport
+	machines  map[string]figseam.StateMachine
+	log       zerolog.Logger
+	// failure receives the first error after which the replica cannot go on.
+	failure chan error
 
 	// applyMu guards the state machines and incomingSnapshot. It is locked before mu.
 	applyMu          sync.Mutex
@@ -136,12 +137,21 @@
 	commitIndex            uint64
 	appliedIndex           uint64
 	lastLeaderContact      time.Time
-	electionDeadline       time.Time
-	peers                  map[string]*peer
-	queued                 []*proposal
-	inFlight               map[uint64]*proposal
-	lastLogMillis          int64
-	lastAppend             time.Time
+	// lastCaughtUp is the time of the last request from the leader after which this replica had
+	// all entries that were committed when it was sent.
+	lastCaughtUp     time.Time
+	electionDeadline time.Time
+	peers            map[string]*peer
+	queued           []*proposal
+	inFlight         map[uint64]*proposal
+	lastLogMillis    int64
+	lastAppend       time.Time
+	// diskError is the error of the last write to the journal, or nil. While it is set, the
+	// replica neither leads nor answers its leader; it tries the disk again at diskRetry.
+	diskError error
+	diskRetry time.Time
+	// snapshotRetry is the time before which no snapshot is tried after one that failed.
+	snapshotRetry time.Time
 	// leaving is set once the replica is to stop. It then does not join the group again.
 	leaving    bool
 	stopCause  error
@@ -179,7 +189,7 @@
 	n = &Node{
 		settings: settings, self: Replica{Identity: recovered.Identity, Instance: settings.Instance},
 		transport: transport, machines: map[string]figseam.StateMachine{}, log: log,
-		diskFailure: make(chan error, 1), wakeApply: make(chan struct{}, 1), wakeJournal: make(chan struct{}, 1),
+		failure: make(chan error, 1), wakeApply: make(chan struct{}, 1), wakeJournal: make(chan struct{}, 1),
 		journal: journal, term: recovered.HardState.Term, votedFor: recovered.HardState.Vote,
 		entries: recovered.Entries, peers: map[string]*peer{}, inFlight: map[uint64]*proposal{},
 		leaderChanged: make(chan struct{}),
@@ -226,9 +236,10 @@
 	}
 }
 
-// Run participates in the group until ctx is cancelled or the disk fails. A replica that
-// the group can do without leaves it before it stops. The returned channel receives nil
-// or the disk error once the node has stopped.
+// Run participates in the group until ctx is cancelled, or until the state machines cannot
+// store or restore their state. A replica that the group can do without leaves it before it
+// stops. A disk that refuses writes does not end it: the replica serves again once the disk
+// accepts them. The returned channel receives nil or the error once the node has stopped.
 func (n *Node) Run(ctx context.Context) <-chan error {
 	ended := make(chan error, 1)
 	stopping := ctx.Done()
@@ -249,8 +260,8 @@
 		select {
 		case <-stopping:
 			err = n.leaveGroup(ctx)
-		case err = <-n.diskFailure:
-			n.log.Error().Err(err).Msg("replica stops: its disk failed")
+		case err = <-n.failure:
+			n.log.Error().Err(err).Msg("replica stops: its state cannot be stored or restored")
 		}
 		cancel()
 		n.mu.Lock()
@@ -265,18 +276,19 @@
 }
 
 // HasQuorum reports whether this replica is a leader in contact with a majority of
-// voters, or has recently been in contact with a leader.
+// voters, or has recently had all committed entries of a leader. A replica that hears the
+// leader but cannot store its entries lacks what the group has agreed on.
 func (n *Node) HasQuorum() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
 	switch {
-	case n.stopCause != nil:
+	case n.stopCause != nil || n.diskError != nil:
 		return false
 	case n.role == leader:
 		return n.majorityResponds(now)
 	}
-	return now.Sub(n.lastLeaderContact) < electionTimeoutMinMillis*time.Millisecond
+	return now.Sub(n.lastCaughtUp) < electionTimeoutMinMillis*time.Millisecond
 }
 
 // Self returns the identity and the instance of this replica.
@@ -286,13 +298,17 @@
 func (n *Node) Status() StatusReply {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	diskError := ""
+	if n.diskError != nil {
+		diskError = n.diskError.Error()
+	}
 	return StatusReply{
-		Self: n.self, Uninitialized: n.uninitializedLocked(), Role: n.role.String(), Term: n.term, Leader: n.leader,
+		DiskError: diskError, Self: n.self, Uninitialized: n.uninitializedLocked(), Role: n.role.String(), Term: n.term, Leader: n.leader,
 		CommitIndex: n.commitIndex, LastIndex: n.lastIndex(), Membership: n.membership,
 	}
 }
 
-// JournalBytes returns the total size of the journal's segments in bytes.
+// JournalBytes returns the size of the journal's open segment in bytes.
 func (n *Node) JournalBytes() int64 {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -341,13 +357,13 @@
 	return nil
 }
 
-// fail stops the replica after a disk error. The caller holds mu.
+// fail stops the replica after an error with which it cannot go on. The caller holds mu.
 func (n *Node) fail(err error) {
 	if n.stopCause == nil {
 		n.stopCause = err
 	}
 	select {
-	case n.diskFailure <- err:
+	case n.failure <- err:
 	default:
 	}
 }
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -96,8 +96,9 @@
 }
 
 // Start opens the listeners and starts the background tasks. The instance stops when ctx
-// is done, when it has drained, or when its disk fails. Start returns an error if the log
-// or a listener cannot be opened.
+// is done, when it has drained, or when the state of its log cannot be stored or restored; a
+// disk that refuses writes does not stop it. Start returns an error if the log or a listener
+// cannot be opened.
 func Start(ctx context.Context, settings loader.Settings, options Options) (i *Instance, err error) {
 	defer func() { err = eris.Wrapf(err, "start instance %s", settings.Instance) }()
 	i = newInstance(settings, options)
@@ -354,5 +355,5 @@
 }
 
 // Done returns a channel that receives one value when the instance has stopped: nil, or
-// the error of the disk.
+// the error of the log.
 func (i *Instance) Done() <-chan error { return i.done }
