runner: changed settings reach a voter that was opened anew

Cause: one goroutine for each voter took changed settings from the same channel, and those of former voters went on.

Change: RunVoterWithRestarts passes changed settings to the voter that runs and opens the next one with them. Whether a voter may bootstrap the group is still decided at the start of the process.

--- a/cmd/figseamd/relay.go
+++ b/cmd/figseamd/relay.go
@@ -57,7 +57,7 @@
 		}
 	}()
 	if role == roleVoter {
-		err = runner.RunVoterWithRestarts(ctx, settings, stdout, func(v *runner.Voter) { go applyReloads(ctx, reloads, v.ReloadSettings) })
+		err = runner.RunVoterWithRestarts(ctx, settings, reloads, stdout)
 	} else {
 		e := runner.NewEntryInstance(settings, stdout)
 		go applyReloads(ctx, reloads, e.ReloadSettings)
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -123,7 +123,13 @@
 	})
 	v.meter.RegisterGauge("figseam_voters", "Voters of the replicated log.", func() float64 { return float64(len(v.node.Status().Membership.Voters)) })
 	v.meter.RegisterGauge("figseam_followers", "Entries that follow any voter.", func() float64 { return float64(v.distributor.SubscriberCount()) })
-	v.meter.RegisterGauge("figseam_journal_bytes", "Length of the journal's segments.", func() float64 { return float64(v.node.JournalBytes()) })
+	v.meter.RegisterGauge("figseam_journal_bytes", "Length of the journal's open segment.", func() float64 { return float64(v.node.JournalBytes()) })
+	v.meter.RegisterGauge("figseam_disk_refuses", "1 while the disk refuses writes.", func() float64 {
+		if v.node.DiskError() != nil {
+			return 1
+		}
+		return 0
+	})
 }
 
 // ReloadSettings applies the settings that may change while the instance runs.
@@ -183,8 +189,9 @@
 	v.distributor.MergeVoters(r.Voters)
 }
 
-// Run serves until ctx is done or the disk fails. It returns the error of the disk, or
-// an error if a listener cannot be opened.
+// Run serves until ctx is done. A disk that refuses writes does not end it, see
+// [replicator.Node.Run]. It returns an error if a listener cannot be opened, or if the state
+// of the log cannot be stored or restored.
 func (v *Voter) Run(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "run voter") }()
 	tasks, stop := context.WithCancel(ctx)
@@ -249,15 +256,14 @@
 }
 
 // RunVoterWithRestarts runs a voter until ctx is done or the voter stops without an error.
-// If a voter cannot be opened or its disk fails, another one is opened on the same disk
-// after restartDelayMillis. started is called with each voter before it runs. The returned
-// error is always nil.
-func RunVoterWithRestarts(ctx context.Context, settings loader.RelaySettings, out io.Writer, started func(*Voter)) error {
+// If a voter cannot be opened, for example because its disk is full when it first starts, or
+// fails, another one is opened on the same disk after restartDelayMillis. Changed settings from
+// reloads apply to the voter that runs and to those after it. The returned error is always nil.
+func RunVoterWithRestarts(ctx context.Context, settings loader.RelaySettings, reloads <-chan loader.RelaySettings, out io.Writer) error {
 	for {
 		v, err := NewVoter(settings, out)
 		if err == nil {
-			started(v)
-			err = v.Run(ctx)
+			settings, err = runWithReloads(ctx, v, settings, reloads)
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -269,7 +275,32 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case changed := <-reloads:
+			settings = withReload(settings, changed)
 		case <-time.After(restartDelayMillis * time.Millisecond):
 		}
 	}
 }
+
+// runWithReloads runs a voter until it ends and passes changed settings to it. It returns the
+// settings that apply then.
+func runWithReloads(ctx context.Context, v *Voter, settings loader.RelaySettings, reloads <-chan loader.RelaySettings) (loader.RelaySettings, error) {
+	ended := make(chan error, 1)
+	go func() { ended <- v.Run(ctx) }()
+	for {
+		select {
+		case err := <-ended:
+			return settings, err
+		case changed := <-reloads:
+			settings = withReload(settings, changed)
+			v.ReloadSettings(settings)
+		}
+	}
+}
+
+// withReload returns the changed settings for a process that started with the old ones. Whether
+// the voter may bootstrap the group is decided at the start of the process.
+func withReload(old, changed loader.RelaySettings) loader.RelaySettings {
+	changed.Bootstrap = old.Bootstrap
+	return changed
+}
