--- a/journaler/doc.go
+++ b/journaler/doc.go
@@ -14,6 +14,12 @@
 // it acknowledged; a group of three tolerates this on one replica without losing
 // data.
 //
+// A write that fails, for example because the disk is full, changes nothing: the journal goes on
+// after the bytes that are stored. Each segment begins with everything that follows the snapshot
+// for which it was created, so it supersedes the segments before it. The batches are numbered
+// across segments, and a segment whose first batch is not newer than the end of the one before
+// it was abandoned when its start failed.
+//
 // The identity is generated with the directory's first segment. An erased directory
 // gets a new identity, so that a replica never acts in place of its predecessor.
 package journaler
--- a/replicator/storing.go
+++ b/replicator/storing.go
@@ -37,7 +37,7 @@
 		return true
 	}
 	if n.diskError == nil {
-		n.log.Error().Err(err).Str("role", n.role.String()).Msg("the disk refuses writes, the replica does not take part until it accepts them")
+		n.log.Error().Err(err).Str("replica_role", n.role.String()).Msg("the disk refuses writes, the replica does not take part until it accepts them")
 	}
 	n.diskError = err
 	n.diskRetry = time.Now().Add(diskRetryMillis * time.Millisecond)
