--- a/decoder/names.go
+++ b/decoder/names.go
@@ -1,29 +1,43 @@
 package decoder
 
 import (
+	"bytes"
 	"encoding/json"
+	"strings"
 	"unicode"
+	"unicode/utf8"
 )
 
+// KnownNames is a set of member names.
+type KnownNames struct {
+	// byFolded holds the names by their folded form.
+	byFolded map[string]string
+}
+
+// NewKnownNames returns a set of names.
+func NewKnownNames(names ...string) KnownNames {
+	k := KnownNames{byFolded: make(map[string]string, len(names))}
+	for _, name := range names {
+		k.byFolded[foldName(name)] = name
+	}
+	return k
+}
+
 // AmbiguousName returns the first member name in a JSON text that encoding/json takes for
 // another one: a name that stands twice in one object, a name that differs from another of
 // its object in letter case only, or a name of the outermost object that differs in letter
 // case only from one of the known names. encoding/json matches the names of members without
 // regard to case and lets the last of several members count, while other readers of the text
 // may do neither. The text must be valid JSON.
-func AmbiguousName(text []byte, known ...string) (name string, found bool) {
-	s := nameScanner{text: text, known: make(map[string]string, len(known))}
-	for _, k := range known {
-		s.known[foldName(k)] = k
-	}
+func AmbiguousName(text []byte, known KnownNames) (name string, found bool) {
+	s := nameScanner{text: text, known: known}
 	return s.scan()
 }
 
 // nameScanner walks through a JSON text.
 type nameScanner struct {
-	text []byte
-	// known holds the known names by their folded form.
-	known map[string]string
+	text  []byte
+	known KnownNames
 	// open holds the folded names of each open object, and nil for each open array.
 	open []map[string]struct{}
 }
@@ -69,7 +83,7 @@
 		return true
 	}
 	names[folded] = struct{}{}
-	k, ok := s.known[folded]
+	k, ok := s.known.byFolded[folded]
 	return ok && k != name && len(s.open) == 1
 }
 
@@ -87,6 +101,9 @@
 }
 
 func unquote(quoted []byte) string {
+	if bytes.IndexByte(quoted, '\\') < 0 && utf8.Valid(quoted) {
+		return string(bytes.Trim(quoted, `"`))
+	}
 	var name string
 	if json.Unmarshal(quoted, &name) != nil {
 		return string(quoted)
@@ -96,15 +113,12 @@
 
 // foldName returns the form in which encoding/json compares names: each letter is replaced
 // by the least one that differs from it in case only.
-func foldName(name string) string {
-	folded := make([]rune, 0, len(name))
-	for _, r := range name {
-		folded = append(folded, foldRune(r))
-	}
-	return string(folded)
-}
+func foldName(name string) string { return strings.Map(foldRune, name) }
 
 func foldRune(r rune) rune {
+	if r < utf8.RuneSelf {
+		return unicode.ToUpper(r)
+	}
 	for {
 		next := unicode.SimpleFold(r)
 		if next <= r {
--- a/decoder/names_test.go
+++ b/decoder/names_test.go
@@ -18,7 +18,7 @@
 		first, second := rapid.SampledFrom(names).Draw(t, "first"), rapid.SampledFrom(names).Draw(t, "second")
 		text := []byte(`{"` + first + `":{"x":1},"` + second + `":[{"x":"{\"x\":1,\"x\":2"}]}`)
 		require.True(t, json.Valid(text), "%s", text)
-		_, found := decoder.AmbiguousName(text)
+		_, found := decoder.AmbiguousName(text, decoder.KnownNames{})
 		require.Equal(t, confused(first, second), found, "%s", text)
 	})
 }
@@ -60,7 +60,7 @@
 		{`"id"`, "", false},
 	}
 	for _, tt := range tests {
-		name, found := decoder.AmbiguousName([]byte(tt.text), "id", "state")
+		name, found := decoder.AmbiguousName([]byte(tt.text), decoder.NewKnownNames("id", "state"))
 		require.Equal(t, tt.found, found, tt.text)
 		require.Equal(t, tt.want, name, tt.text)
 	}
--- a/gateway/operators.go
+++ b/gateway/operators.go
@@ -176,7 +176,7 @@
 	if c, err = body.change(); err != nil {
 		return c, err
 	}
-	if name, found := decoder.AmbiguousName(text[:d.InputOffset()]); found {
+	if name, found := decoder.AmbiguousName(text[:d.InputOffset()], decoder.KnownNames{}); found {
 		return c, figseam.NewRefusal(explainer.BadRequest, "body: several fields %q, of which letter case makes no difference", name)
 	}
 	return c, nil
--- a/replicator/doc.go
+++ b/replicator/doc.go
@@ -15,6 +15,10 @@
 // contact with a leader, so an isolated replica does not disrupt the group when
 // it reconnects. A leader that receives no replies from a majority steps down.
 //
+// A disk may refuse writes for a while, for example because it is full. The journal then is as
+// before the write, and so is the replica. It hands over the lead and does not answer the leader,
+// so that it counts neither as caught up nor as responding, until a write succeeds.
+//
 // One mutex guards the log and the role of a replica and is held while the
 // journal is synced; commands that arrive in the meantime are written and synced
 // as one batch. A second mutex guards the state machines. A replica runs one
--- a/replicator/storing.go
+++ b/replicator/storing.go
@@ -6,12 +6,6 @@
 	"github.com/figseam/figseam/journaler"
 )
 
-// A disk may refuse writes for a while, for example because it is full. The journal then is as
-// before the write, and so is the replica: it has not stored what it was to store, and says
-// nothing that depends on it. It does not lead, since only a leader that stores commands can
-// have them committed, and it does not answer the leader, so that it counts neither as caught
-// up nor as responding. It tries the disk again until a write succeeds.
-
 const (
 	// diskRetryMillis is the interval between two attempts to write to a disk that refused a
 	// write.
