--- a/replicator/full_disk_test.go
+++ b/replicator/full_disk_test.go
@@ -136,6 +136,29 @@
 	})
 }
 
+// TestReplicaRestartsOnFullDisk guards against a replica that does not serve again if its process
+// ends while its disk is full, and that is opened anew before there is room.
+func TestReplicaRestartsOnFullDisk(t *testing.T) {
+	forEachFullDisk(t, func(t *testing.T, g *group, fault emulator.DiskFault, operations int) {
+		h := &proposalHistory{}
+		for _, name := range []figseam.InstanceID{g.leader().name, g.follower().name} {
+			g.fill(h, name, fault, operations)
+			g.replicas[name].disk.SetFault(fault, 0)
+			g.crash(name)
+			opened := make(chan struct{})
+			go func() {
+				defer close(opened)
+				g.start(t, name)
+			}()
+			time.Sleep(fullMillis * time.Millisecond)
+			g.replicas[name].disk.SetFault(emulator.DiskFaultNone, 0)
+			<-opened
+			g.requireServing(t)
+		}
+		g.finish(t, h)
+	})
+}
+
 // TestDisksFullAtFirstStart guards against a group that does not form, or forms with a voter that
 // does not serve, because the disk of an initial member was full when it first started.
 func TestDisksFullAtFirstStart(t *testing.T) {
