--- a/replicator/full_disk_test.go
+++ b/replicator/full_disk_test.go
@@ -25,9 +25,18 @@
 
 // fill leaves a disk without room for a while, after some more operations, while commands come in.
 func (g *group) fill(h *proposalHistory, name figseam.InstanceID, fault emulator.DiskFault, operations int) {
+	g.fillDuring(h, name, fault, operations, func() {})
+}
+
+// fillDuring is the same with something that happens in the middle.
+func (g *group) fillDuring(h *proposalHistory, name figseam.InstanceID, fault emulator.DiskFault, operations int, halfway func()) {
 	r := g.replicas[name]
 	r.disk.SetFault(fault, operations)
-	for range fullMillis / commandIntervalMillis {
+	const commands = fullMillis / commandIntervalMillis
+	for i := range commands {
+		if i == commands/2 {
+			halfway()
+		}
 		h.proposeToLeaders(g)
 		time.Sleep(commandIntervalMillis * time.Millisecond)
 	}
@@ -122,11 +131,7 @@
 		time.Sleep(2 * time.Second)
 		// The full disk and the voter that leaves are not lost at the same time: the group has
 		// four voters, of which three suffice.
-		go func() {
-			time.Sleep(fullMillis / 2 * time.Millisecond)
-			g.stopInstance(removed)
-		}()
-		g.fill(h, full, fault, operations)
+		g.fillDuring(h, full, fault, operations, func() { g.stopInstance(removed) })
 		g.requireServing(t)
 		for _, name := range g.voterNames() {
 			g.fill(h, name, fault, operations)
