limiter: a connection belongs to its request until the answer is written

Change: Connections.Configure sets handler and hooks of a server. A request is in progress until net/http reports the connection as idle; only connections that the server reads from make place; no handler is called on a closed connection. If none waits, the new connection is refused. TestConnectionIsKeptUntilResponseIsWritten and TestArrivedRequestKeepsItsConnection fail on the former code.

--- a/limiter/connections.go
+++ b/limiter/connections.go
@@ -34,10 +34,11 @@
 var errEvicted = errors.New("connection was closed to free what it held")
 
 // Connections bounds the connections of a server's clients and the memory that the heads of
-// their unfinished requests hold together. When a bound is reached, it closes connections whose
-// request has not arrived in full: of those that hold memory the one that holds most for
-// longest, otherwise the one that has sent nothing for longest. A request that has arrived is
-// never cut off. It is safe for concurrent use.
+// their unfinished requests hold together. For memory it closes the connection whose unfinished
+// head holds most for longest; for a place the one that has waited for its client for longest,
+// and if none waits, the new connection is refused. A connection belongs to its request from
+// the beginning of the handler until the last byte of the response is written, and is not closed
+// in that time; one that was closed before calls no handler. It is safe for concurrent use.
 //
 // Load pattern: crowds of clients that connect, send very many fields, or stop half-way.
 type Connections struct {
@@ -76,22 +77,36 @@
 // Evicted returns the number of connections that were closed because a bound was reached.
 func (c *Connections) Evicted() int64 { return c.evicted.Load() }
 
-// Listener returns a listener whose connections are bounded.
+// Listener returns a listener whose connections are bounded. The server must have been set up
+// by [Connections.Configure].
 func (c *Connections) Listener(l net.Listener) net.Listener {
 	return &boundedListener{Listener: l, owner: c}
 }
 
-// Handler returns a handler for the connections of [Connections.Listener]. The server must
-// have [Connections.Context] as its ConnContext.
-func (c *Connections) Handler(next http.Handler) http.Handler {
+// Configure sets the handler and the hooks of a server for the connections of
+// [Connections.Listener].
+func (c *Connections) Configure(server *http.Server, next http.Handler) {
+	server.Handler = c.handler(next)
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	// net/http writes a short response only after its handler has returned, and reports the
+	// connection as idle once that is done.
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		if conn, ok := conn.(*clientConn); ok && state == http.StateIdle {
+			c.finish(conn)
+		}
+	}
+}
+
+func (c *Connections) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		deadline := time.Now().Add(requestTimeoutMillis * time.Millisecond)
 		_ = control.SetReadDeadline(deadline)
 		_ = control.SetWriteDeadline(deadline)
-		if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok {
-			conn.handling.Store(true)
-			defer c.finish(conn)
+		if conn, ok := r.Context().Value(connKey{}).(*clientConn); ok && !c.begin(conn) {
+			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
 	})
@@ -99,17 +114,22 @@
 
 type connKey struct{}
 
-// Context returns a context that names a connection of [Connections.Listener].
-func (c *Connections) Context(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+// begin marks a connection as one with a request in progress. It returns false if the
+// connection was closed before.
+func (c *Connections) begin(conn *clientConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.handling.Store(!conn.evicted)
+	return !conn.evicted
 }
 
-// finish frees what the head of a request held.
+// finish marks the end of a request, and frees what its head held.
 func (c *Connections) finish(conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.heldBytes -= conn.heldBytes
 	conn.heldBytes = 0
+	conn.progressAt.Store(time.Now().UnixNano())
 	conn.handling.Store(false)
 }
 
@@ -155,12 +175,12 @@
 	return nil
 }
 
-// quietest returns the connection without a request in progress that has sent nothing for
-// longest; nil if there is none. The caller holds mu.
+// quietest returns the connection that has waited for its client for longest; nil if there is
+// none. The caller holds mu.
 func (c *Connections) quietest() *clientConn {
 	var found *clientConn
 	for conn := range c.open {
-		if !conn.handling.Load() && (found == nil || conn.progressAt.Load() < found.progressAt.Load()) {
+		if conn.waits() && (found == nil || conn.progressAt.Load() < found.progressAt.Load()) {
 			found = conn
 		}
 	}
@@ -229,9 +249,13 @@
 type clientConn struct {
 	net.Conn
 	owner *Connections
-	// handling is set while a handler has a request of the connection.
+	// handling is set from the beginning of a request's handler until its response is written.
 	handling atomic.Bool
-	// progressAt is the time of the last byte that came, in nanoseconds.
+	// reading is set while the server reads from the connection. It is not set while a request
+	// that has arrived waits for its handler.
+	reading atomic.Bool
+	// progressAt is the time of the last byte that came, or of the end of the last response if
+	// that is later, in nanoseconds.
 	progressAt atomic.Int64
 	// writeDeadline is the one that was set, in nanoseconds; 0 for none.
 	writeDeadline atomic.Int64
@@ -242,9 +266,14 @@
 	evicted   bool
 }
 
+// waits reports whether the server waits for the client to send a request.
+func (c *clientConn) waits() bool { return c.reading.Load() && !c.handling.Load() }
+
 // Read implements [net.Conn].
 func (c *clientConn) Read(p []byte) (int, error) {
+	c.reading.Store(true)
 	n, err := c.Conn.Read(p)
+	c.reading.Store(false)
 	if n == 0 {
 		return n, err
 	}
--- a/limiter/connections_test.go
+++ b/limiter/connections_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,19 +28,35 @@
 	connections *limiter.Connections
 	release     chan struct{}
 	respond     func()
+	served      atomic.Int64
+	// reading holds the addresses of the clients from whose connections the server has read.
+	reading sync.Map
+	// beforeWrite is called before a connection writes, idle when one becomes idle.
+	beforeWrite, idle func()
 }
 
 func newBoundedServer(t *testing.T, maxCount int, maxBytes int64) *boundedServer {
-	s := &boundedServer{connections: limiter.NewConnections("test", maxCount, maxBytes, zerolog.Nop()), release: make(chan struct{})}
+	s := &boundedServer{
+		connections: limiter.NewConnections("test", maxCount, maxBytes, zerolog.Nop()), release: make(chan struct{}),
+		beforeWrite: func() {}, idle: func() {},
+	}
 	s.respond = sync.OnceFunc(func() { close(s.release) })
-	s.Server = httptest.NewUnstartedServer(s.connections.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.Server = httptest.NewUnstartedServer(nil)
+	s.connections.Configure(s.Config, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.served.Add(1)
 		if r.URL.Path == "/wait" {
 			<-s.release
 		}
 		w.WriteHeader(http.StatusNoContent)
-	})))
-	s.Listener = s.connections.Listener(s.Listener)
-	s.Config.ConnContext = s.connections.Context
+	}))
+	report := s.Config.ConnState
+	s.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+		report(conn, state)
+		if state == http.StateIdle {
+			s.idle()
+		}
+	}
+	s.Listener = s.connections.Listener(&observedListener{Listener: s.Listener, server: s})
 	s.Start()
 	t.Cleanup(func() {
 		s.respond()
@@ -48,11 +65,40 @@
 	return s
 }
 
+// observedListener shows what a server does on its connections.
+type observedListener struct {
+	net.Listener
+	server *boundedServer
+}
+
+func (l *observedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &observedConn{Conn: conn, server: l.server}, nil
+}
+
+type observedConn struct {
+	net.Conn
+	server *boundedServer
+}
+
+func (c *observedConn) Read(p []byte) (int, error) {
+	c.server.reading.Store(c.RemoteAddr().String(), true)
+	return c.Conn.Read(p)
+}
+
+func (c *observedConn) Write(p []byte) (int, error) {
+	c.server.beforeWrite()
+	return c.Conn.Write(p)
+}
+
 // connectionTimeout ends a test whose server neither responds nor closes the connection.
 const connectionTimeout = 15 * time.Second
 
-// connect opens a connection and sends a text.
-func (s *boundedServer) connect(t *testing.T, text string) net.Conn {
+// dial opens a connection and sends a text.
+func (s *boundedServer) dial(t *testing.T, text string) net.Conn {
 	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
@@ -62,6 +108,16 @@
 	return c
 }
 
+// connect opens a connection, sends a text and waits until the server reads from it.
+func (s *boundedServer) connect(t *testing.T, text string) net.Conn {
+	c := s.dial(t, text)
+	require.Eventually(t, func() bool {
+		_, ok := s.reading.Load(c.LocalAddr().String())
+		return ok
+	}, connectionTimeout, time.Millisecond)
+	return c
+}
+
 // requireStatus requires that a connection receives a response.
 func requireStatus(t *testing.T, c net.Conn, status int) {
 	t.Helper()
@@ -78,16 +134,18 @@
 	require.NotErrorIs(t, err, os.ErrDeadlineExceeded, "the connection is still open")
 }
 
-const plainRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+const (
+	plainRequest   = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	waitingRequest = "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
+)
 
 // TestQuietestConnectionMakesPlace guards against clients that connect and send nothing: they
 // keep no place from others. A connection whose request is being served keeps its place.
 func TestQuietestConnectionMakesPlace(t *testing.T) {
 	s := newBoundedServer(t, 3, 1<<20)
-	served := s.connect(t, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
-	require.Eventually(t, func() bool { return s.connections.Len() == 1 }, time.Minute, time.Millisecond)
+	served := s.connect(t, waitingRequest)
+	require.Eventually(t, func() bool { return s.served.Load() == 1 }, connectionTimeout, time.Millisecond)
 	silent := s.connect(t, "")
-	require.Eventually(t, func() bool { return s.connections.Len() == 2 }, time.Minute, time.Millisecond)
 	used := s.connect(t, plainRequest)
 	requireStatus(t, used, http.StatusNoContent)
 	requireStatus(t, s.connect(t, plainRequest), http.StatusNoContent)
@@ -97,6 +155,61 @@
 	requireStatus(t, served, http.StatusNoContent)
 }
 
+// TestConnectionIsKeptUntilResponseIsWritten guards against the loss of an answer whose handler
+// has returned: net/http writes it after that, and the connection must not make place for a new
+// one in between.
+func TestConnectionIsKeptUntilResponseIsWritten(t *testing.T) {
+	s := newBoundedServer(t, 1, 1<<20)
+	writing, proceed := make(chan struct{}), make(chan struct{})
+	finishWrite := sync.OnceFunc(func() { close(proceed) })
+	t.Cleanup(finishWrite)
+	s.beforeWrite = sync.OnceFunc(func() {
+		close(writing)
+		<-proceed
+	})
+	used := s.connect(t, plainRequest)
+	<-writing
+	requireClosed(t, s.dial(t, ""))
+	finishWrite()
+	requireStatus(t, used, http.StatusNoContent)
+	require.Zero(t, s.connections.Evicted())
+}
+
+// TestArrivedRequestKeepsItsConnection guards against a request that runs on a connection that
+// is already closed: one that has arrived behind another, and whose handler has not begun, is
+// answered.
+func TestArrivedRequestKeepsItsConnection(t *testing.T) {
+	s := newBoundedServer(t, 1, 1<<20)
+	idle, proceed := make(chan struct{}), make(chan struct{})
+	readOn := sync.OnceFunc(func() { close(proceed) })
+	t.Cleanup(readOn)
+	s.idle = sync.OnceFunc(func() {
+		close(idle)
+		<-proceed
+	})
+	used := s.connect(t, plainRequest+plainRequest)
+	<-idle
+	requireClosed(t, s.dial(t, ""))
+	readOn()
+	responses := bufio.NewReader(used)
+	for range 2 {
+		response, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNoContent, response.StatusCode)
+	}
+	require.EqualValues(t, 2, s.served.Load())
+	// A connection without a request makes place as soon as the server reads from it again.
+	require.Eventually(t, func() bool {
+		response, err := http.Get(s.URL)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusNoContent
+	}, connectionTimeout, time.Millisecond)
+	require.EqualValues(t, 1, s.connections.Evicted())
+}
+
 // TestHeaviestHeadIsClosed guards against heads of very many short fields that stop half-way:
 // when they hold too much memory, the heaviest is closed, and small ones are served.
 func TestHeaviestHeadIsClosed(t *testing.T) {
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -110,13 +110,13 @@
 
 // newServer returns a server for bounded connections.
 func (b *base) newServer(connections *limiter.Connections, h http.Handler) *boundedServer {
-	return &boundedServer{connections: connections, Server: &http.Server{
-		Handler:           connections.Handler(recoverer.Handler(b.log, h)),
-		ConnContext:       connections.Context,
+	s := &http.Server{
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
 		IdleTimeout:       idleTimeoutMillis * time.Millisecond,
-	}}
+	}
+	connections.Configure(s, recoverer.Handler(b.log, h))
+	return &boundedServer{connections: connections, Server: s}
 }
 
 // boundedServer is a server with the connections that it accepts.
