limiter, recoverer: no request ends as an empty answer with status 200

Cause: a body whose end arrived while it was given up for others counted as complete, although reads from its connection had been made to fail; net/http took that for a caller that left. The abort of a body could also hit the next request on its connection. Change: Budget decides once, under its lock, whether a body is complete or given up; one that was given up is refused with 503. A request whose caller is gone closes the connection, and so does any handler that returns without a response (recoverer.Handler).

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -32,7 +32,8 @@
 
 // Budget is the memory that the bodies buffered at the same time may occupy together. If it is
 // used up, the body that has occupied most of it for longest without being complete is given
-// up, provided that it can be. It is safe for concurrent use.
+// up, provided that it can be. A body that is complete is never given up. It is safe for
+// concurrent use.
 type Budget struct {
 	remaining atomic.Int64
 	reserve   atomic.Int64
@@ -83,8 +84,8 @@
 	// startedAt is the beginning of the read. abort ends it early; nil if it may not be.
 	startedAt time.Time
 	abort     func()
-	// evicted is set when the body is given up.
-	evicted atomic.Bool
+	// evicted is set when the body is given up. The budget's mu guards it.
+	evicted bool
 	// released is closed when the body is released.
 	released chan struct{}
 }
@@ -97,18 +98,18 @@
 }
 
 // ReadAbortableBody is like [Budget.ReadBody] for a body that may be given up for others:
-// abort, which must not block, has reads from the source fail.
+// abort, which must not block, has reads from the source fail. It is not called after
+// ReadAbortableBody has returned, so it does not affect what follows on the same connection.
 func (b *Budget) ReadAbortableBody(source io.Reader, maxBytes int, abort func()) (body *Body, err error) {
 	body = &Body{budget: b, startedAt: time.Now(), abort: abort, released: make(chan struct{})}
 	b.register(body)
 	defer func() {
-		b.unregister(body)
+		if b.unregister(body) {
+			err = ErrBudgetExhausted
+		}
 		if err == nil {
 			return
 		}
-		if body.evicted.Load() {
-			err = ErrBudgetExhausted
-		}
 		body.Release()
 		body = nil
 	}()
@@ -140,24 +141,23 @@
 	b.reading[body] = struct{}{}
 }
 
-func (b *Budget) unregister(body *Body) {
+// unregister ends the time in which a body can be given up, and reports whether it was. Reads
+// from the source of such a body have been made to fail, so it does not count even if its end
+// came at the same time.
+func (b *Budget) unregister(body *Body) (evicted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.reading, body)
+	return body.evicted
 }
 
 // evictFor gives up the body that has occupied most memory for longest, waits until its memory
 // is free and reports whether there was one. It reports false if that is the given body.
 func (b *Budget) evictFor(body *Body) bool {
-	victim := b.takeHeaviest()
-	if victim == nil {
-		return false
-	}
-	b.evicted.Add(1)
-	if victim == body {
+	victim := b.abortHeaviest(body)
+	if victim == nil || victim == body {
 		return false
 	}
-	victim.abort()
 	timer := time.NewTimer(evictionWaitMillis * time.Millisecond)
 	defer timer.Stop()
 	select {
@@ -167,9 +167,9 @@
 	return true
 }
 
-// takeHeaviest returns the body that has occupied most memory for longest, which is not
-// returned again; nil if there is none.
-func (b *Budget) takeHeaviest() *Body {
+// abortHeaviest gives up the body that has occupied most memory for longest and returns it; nil
+// if there is none. If that is the given body, its source is left as it is.
+func (b *Budget) abortHeaviest(reader *Body) *Body {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var found *Body
@@ -180,9 +180,14 @@
 			found, highest = body, score
 		}
 	}
-	if found != nil {
-		found.evicted.Store(true)
-		delete(b.reading, found)
+	if found == nil {
+		return nil
+	}
+	found.evicted = true
+	delete(b.reading, found)
+	b.evicted.Add(1)
+	if found != reader {
+		found.abort()
 	}
 	return found
 }
--- a/limiter/connections_test.go
+++ b/limiter/connections_test.go
@@ -289,3 +289,35 @@
 		require.ErrorIs(t, <-results[2], errAborted)
 	})
 }
+
+// bodyEndingAtAbort is a body whose end arrives at the moment at which it is given up.
+type bodyEndingAtAbort struct{ stalledBody }
+
+func (b *bodyEndingAtAbort) Read(p []byte) (int, error) {
+	n, err := b.stalledBody.Read(p)
+	if errors.Is(err, errAborted) {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// TestBodyGivenUpAtItsEndIsRefused guards against a request that goes on although its body was
+// given up: the connection of such a body reports that its caller has left, so that the request
+// would run and its response be lost.
+func TestBodyGivenUpAtItsEndIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := limiter.NewBudget(300_000)
+		source := &bodyEndingAtAbort{stalledBody{rest: 200_000, aborted: make(chan struct{})}}
+		result := make(chan error, 1)
+		go func() {
+			_, err := budget.ReadAbortableBody(source, 1<<20, func() { close(source.aborted) })
+			result <- err
+		}()
+		time.Sleep(time.Second)
+		whole, err := budget.ReadAbortableBody(strings.NewReader(strings.Repeat("x", 250_000)), 1<<20, func() {})
+		require.NoError(t, err)
+		require.ErrorIs(t, <-result, limiter.ErrBudgetExhausted)
+		require.Equal(t, 250_000, whole.Len())
+		require.EqualValues(t, 1, budget.Evicted())
+	})
+}
--- a/recoverer/recoverer.go
+++ b/recoverer/recoverer.go
@@ -41,7 +41,9 @@
 
 // Handler returns a handler that calls next and responds with status 500 if it panics. If
 // the response has begun, the connection is closed, so that the response cannot be taken
-// for a complete one. A panic with [http.ErrAbortHandler] is passed on.
+// for a complete one. A panic with [http.ErrAbortHandler] is passed on. The connection is also
+// closed if next returns without a response, for which net/http would write an empty one with
+// status 200.
 func Handler(log zerolog.Logger, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		began := &headerObserver{ResponseWriter: w}
@@ -60,6 +62,9 @@
 			w.WriteHeader(http.StatusInternalServerError)
 		}()
 		next.ServeHTTP(began, r)
+		if !began.wroteHeader {
+			panic(http.ErrAbortHandler)
+		}
 	})
 }
 
@@ -78,7 +83,8 @@
 
 // WriteHeader implements [http.ResponseWriter].
 func (o *headerObserver) WriteHeader(status int) {
-	o.wroteHeader = true
+	// Informational responses are not the response.
+	o.wroteHeader = o.wroteHeader || status >= http.StatusOK || status == http.StatusSwitchingProtocols
 	o.ResponseWriter.WriteHeader(status)
 }
 
--- a/recoverer/recoverer_test.go
+++ b/recoverer/recoverer_test.go
@@ -29,8 +29,8 @@
 	require.Equal(t, before+1, recoverer.Count())
 }
 
-// TestHandlerConfinesPanic checks that a request whose handler panics gets no response that
-// looks complete, and that the server goes on.
+// TestHandlerConfinesPanic checks that a request whose handler panics, or returns without a
+// response, gets none that looks complete, and that the server goes on.
 func TestHandlerConfinesPanic(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -46,6 +46,8 @@
 			_ = http.NewResponseController(w).Flush()
 			panic("x")
 		}, http.StatusOK, true, 1},
+		{"without a response", func(http.ResponseWriter, *http.Request) {}, 0, true, 0},
+		{"after an informational response", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusEarlyHints) }, 0, true, 0},
 		{"aborted on purpose", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 0, true, 0},
 	}
 	for _, test := range tests {
--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -75,8 +75,7 @@
 			failedResponse = response
 		}
 		if code == explainer.CallerDisconnected {
-			t.logDisconnect()
-			return
+			t.abortDisconnected()
 		}
 		if requestEnded(code) || (t.mayHaveRun && t.route.Semantics != figseam.Idempotent) {
 			break
--- a/relayer/responding.go
+++ b/relayer/responding.go
@@ -64,11 +64,11 @@
 }
 
 // finishFailed ends a request without a complete response. It refuses the request, or
-// only logs it if the caller has disconnected.
+// closes the connection if the caller has disconnected.
 func (t *task) finishFailed(code figseam.Code) {
 	switch code {
 	case explainer.CallerDisconnected:
-		t.logDisconnect()
+		t.abortDisconnected()
 	case explainer.DeadlineExceeded:
 		t.refuseExpired()
 	case explainer.KeyRejected:
@@ -95,8 +95,13 @@
 	panic(http.ErrAbortHandler)
 }
 
-// logDisconnect logs the end of a request whose caller disconnected.
-func (t *task) logDisconnect() { t.logRequest(zerolog.InfoLevel, explainer.CallerDisconnected, 0) }
+// abortDisconnected ends a request whose caller disconnected. It closes the connection: a caller
+// that has only closed its sending side would otherwise read the end that net/http writes, an
+// empty response with status 200 or the last chunk of a stream.
+func (t *task) abortDisconnected() {
+	t.logRequest(zerolog.InfoLevel, explainer.CallerDisconnected, 0)
+	panic(http.ErrAbortHandler)
+}
 
 // bufferedResponse is a response that was read completely.
 type bufferedResponse struct {
@@ -121,8 +126,7 @@
 	t.wroteHeader = true
 	t.writer.WriteHeader(r.status)
 	if _, err := r.body.WriteTo(t.writer); err != nil {
-		t.logDisconnect()
-		return
+		t.abortDisconnected()
 	}
 	level := zerolog.InfoLevel
 	if r.status >= http.StatusInternalServerError {
