connector: connections of an entry to endpoints are bounded

Cause: only 16 idle connections an address were bounded. A streamed request holds up to three, so a crowd of callers within its quarter of the descriptors took up to 192 more: 229 to 250 of 256 were open in TestCrowdsEndNoProcess/stream/pipelined_requests_without_reading, where 240 are allowed. Change: NewBounded. An entry has at most half of its descriptors open to endpoints. Beyond that the oldest idle connection makes place; if there is none, the request waits for up to 250 ms and the attempt ends as connections_in_use, which does not count against the endpoint.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -11,6 +11,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -88,6 +89,10 @@
 	maxIdlePerAddress int
 	// keepsRefusing is true if a connection may be kept after a refusal.
 	keepsRefusing bool
+	// places holds an element for each open connection; nil if their number is not bounded.
+	// waiting is the number of requests that wait for a place.
+	places  chan struct{}
+	waiting atomic.Int64
 
 	// mu guards everything below.
 	mu     sync.Mutex
@@ -169,7 +174,7 @@
 	}
 	ctx, cancel := x.connector.withDialTimeout(ctx)
 	defer cancel()
-	raw, err := x.connector.dial(ctx, "tcp", x.request.Address)
+	raw, err := x.connector.openConn(ctx, x.request.Address)
 	if err != nil {
 		return err
 	}
--- a/connector/idle.go
+++ b/connector/idle.go
@@ -120,10 +120,12 @@
 	return x.status >= http.StatusOK && x.status < http.StatusMultipleChoices
 }
 
+// pushIdle keeps a connection for further requests, unless there are enough to its address or a
+// request waits for its place.
 func (c *Connector) pushIdle(key idleKey, k *conn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.idle[key]) >= c.maxIdlePerAddress {
+	if len(c.idle[key]) >= c.maxIdlePerAddress || c.waiting.Load() > 0 {
 		_ = k.Close()
 		return
 	}
--- a/connector/network.go
+++ b/connector/network.go
@@ -38,6 +38,9 @@
 
 // stateOf returns the state of the socket of a connection.
 func stateOf(c net.Conn) socketState {
+	if placed, ok := c.(*placedConn); ok {
+		c = placed.Conn
+	}
 	s, ok := c.(syscall.Conn)
 	if !ok {
 		return socketQuiet
--- a/explainer/catalogue.go
+++ b/explainer/catalogue.go
@@ -64,6 +64,7 @@
 	EndpointFailed         figseam.Code = "endpoint_failed"
 	EndpointTimedOut       figseam.Code = "endpoint_silent"
 	ConnectFailed          figseam.Code = "not_connected"
+	NoConnection           figseam.Code = "connections_in_use"
 	ConnectionLost         figseam.Code = "connection_broken"
 	ResponseMismatch       figseam.Code = "answer_foreign"
 	InvalidResponse        figseam.Code = "answer_spoiled"
--- a/explainer/entries.go
+++ b/explainer/entries.go
@@ -359,6 +359,13 @@
 		Action:      "Look whether the endpoint runs and the network to it is whole.",
 		Since:       "0.2",
 	},
+	{
+		Code:        "connections_in_use",
+		Title:       "Connections in use",
+		Description: "All connections that the entry may have to endpoints were in use, so nothing was sent.",
+		Action:      "Raise max_descriptors of the entry, or look at callers that open very many streams.",
+		Since:       "0.6",
+	},
 	{
 		Code:        "connection_broken",
 		Title:       "Connection broken",
--- a/relayer/exchange.go
+++ b/relayer/exchange.go
@@ -59,6 +59,8 @@
 		return explainer.EndpointLeaving
 	case errors.Is(err, errEndpointPaused):
 		return explainer.EndpointPaused
+	case errors.Is(err, connector.ErrNoPlace):
+		return explainer.NoConnection
 	case errors.Is(err, connector.ErrNotSent):
 		return explainer.ConnectFailed
 	case errors.Is(err, connector.ErrMalformed):
@@ -178,7 +180,7 @@
 	switch code {
 	case "":
 		return selector.ResultSuccess
-	case explainer.EndpointLeaving, explainer.EndpointPaused:
+	case explainer.EndpointLeaving, explainer.EndpointPaused, explainer.NoConnection:
 		return selector.ResultIgnored
 	case explainer.ConnectFailed:
 		return selector.ResultUnreachable
--- a/relayer/generating.go
+++ b/relayer/generating.go
@@ -77,7 +77,7 @@
 		case "":
 			source = nil
 			return silent, ""
-		case explainer.EndpointLeaving, explainer.EndpointPaused:
+		case explainer.EndpointLeaving, explainer.EndpointPaused, explainer.NoConnection:
 			// Another decode engine takes the prefill result.
 			t.releaseReservation(p)
 			prefilling = prefilling && source == nil
--- a/relayer/sending.go
+++ b/relayer/sending.go
@@ -64,5 +64,9 @@
 // unsent reports whether an attempt with a code that is not empty sent nothing to its
 // endpoint.
 func unsent(code figseam.Code) bool {
-	return code == explainer.ConnectFailed || code == explainer.EndpointLeaving || code == explainer.EndpointPaused
+	switch code {
+	case explainer.ConnectFailed, explainer.NoConnection, explainer.EndpointLeaving, explainer.EndpointPaused:
+		return true
+	}
+	return false
 }
--- a/runner/admission.go
+++ b/runner/admission.go
@@ -3,6 +3,7 @@
 import (
 	"syscall"
 
+	"github.com/figseam/figseam/connector"
 	"github.com/figseam/figseam/limiter"
 )
 
@@ -23,10 +24,12 @@
 	connectionsPerMegabyte = 8
 )
 
-// Shares of the descriptors of a process that are for the connections to its servers. The rest
-// is for connections to endpoints and other instances, and for files.
+// Shares of the descriptors of a process that are for the connections to its servers, and of an
+// entry for those to endpoints. The rest is for connections to other instances, and for files.
+// A streamed request of a caller holds up to three connections to engines at a time.
 const (
 	callerDescriptorShare   = 1.0 / 4
+	endpointDescriptorShare = 1.0 / 2
 	operatorDescriptorShare = 1.0 / 8
 	entryPeerShare          = 1.0 / 8
 	voterPeerShare          = 1.0 / 2
@@ -58,3 +61,8 @@
 	b.meter.RegisterGauge("figseam_"+name+"_connections_evicted", "Connections to the server for "+name+" that were closed to free places or memory.", func() float64 { return float64(c.Evicted()) })
 	return c
 }
+
+// newConnector returns the connector for endpoints.
+func (b *base) newConnector() *connector.Connector {
+	return connector.NewBounded(nil, max(minConnections, int(endpointDescriptorShare*float64(b.descriptorLimit()))))
+}
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -74,7 +74,8 @@
 
 // NewEntryInstance assembles an entry. Log lines go to out.
 func NewEntryInstance(settings loader.RelaySettings, out io.Writer) *EntryInstance {
-	e := &EntryInstance{base: newBase(settings, "entry", out), connector: connector.New(nil), tracker: selector.NewTracker()}
+	e := &EntryInstance{base: newBase(settings, "entry", out), tracker: selector.NewTracker()}
+	e.connector = e.newConnector()
 	e.openEndpointList(func() time.Duration { return e.fractionOfEndpointDrain(entryListAgeRatio) })
 	e.budget = budgeter.New(budgeter.Settings{
 		RetryRatio: settings.RetryRatio, RetryAllowance: settings.RetryAllowance, WindowMillis: int64(settings.RetryWindowSeconds * 1000),
