limiter, runner: connections of callers make place again after their request

Cause: the entry set its own ConnState on the server for callers, so that the hook of limiter.Connections, which ends a request since, was not called: these connections counted as in use for ever, and new ones were refused beyond the places. Change: Configure calls the ConnState that the server has, and newServer takes the observer, so that it is set before.

--- a/limiter/connections.go
+++ b/limiter/connections.go
@@ -84,8 +84,10 @@
 }
 
 // Configure sets the handler and the hooks of a server for the connections of
-// [Connections.Listener].
+// [Connections.Listener]. A ConnState that the server has is still called; it must not be set
+// afterwards, since connections would then count as in use for ever.
 func (c *Connections) Configure(server *http.Server, next http.Handler) {
+	observe := server.ConnState
 	server.Handler = c.handler(next)
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
@@ -96,6 +98,9 @@
 		if conn, ok := conn.(*clientConn); ok && state == http.StateIdle {
 			c.finish(conn)
 		}
+		if observe != nil {
+			observe(conn, state)
+		}
 	}
 }
 
--- a/limiter/connections_test.go
+++ b/limiter/connections_test.go
@@ -42,6 +42,11 @@
 	}
 	s.respond = sync.OnceFunc(func() { close(s.release) })
 	s.Server = httptest.NewUnstartedServer(nil)
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateIdle {
+			s.idle()
+		}
+	}
 	s.connections.Configure(s.Config, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.served.Add(1)
 		if r.URL.Path == "/wait" {
@@ -49,13 +54,6 @@
 		}
 		w.WriteHeader(http.StatusNoContent)
 	}))
-	report := s.Config.ConnState
-	s.Config.ConnState = func(conn net.Conn, state http.ConnState) {
-		report(conn, state)
-		if state == http.StateIdle {
-			s.idle()
-		}
-	}
 	s.Listener = s.connections.Listener(&observedListener{Listener: s.Listener, server: s})
 	s.Start()
 	t.Cleanup(func() {
--- a/runner/closing.go
+++ b/runner/closing.go
@@ -88,8 +88,7 @@
 	conns map[net.Conn]struct{}
 }
 
-// observe records a change of a connection's state. It is to be set as the server's
-// ConnState.
+// observe records a change of a connection's state.
 func (b *busyConns) observe(c net.Conn, state http.ConnState) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/runner/entry.go
+++ b/runner/entry.go
@@ -168,8 +168,7 @@
 	if err != nil {
 		return err
 	}
-	callers := e.newServer(e.newConnections("callers", callerDescriptorShare), e.relayer)
-	callers.ConnState = e.callerConns.observe
+	callers := e.newServer(e.newConnections("callers", callerDescriptorShare), e.relayer, e.callerConns.observe)
 	e.start(callers, callerListener)
 	stopped := []<-chan struct{}{e.list.Run(tasks), e.subscriber.Run(tasks), runPeriodically(tasks, e.log, "load exchange", loadExchangeIntervalMillis, e.exchangeLoad), runPeriodically(tasks, e.log, "clean-up", cleanupIntervalMillis, e.cleanUp)}
 	e.log.Info().Str("callers", e.settings.CallerAddress).Msg("started")
--- a/runner/relay.go
+++ b/runner/relay.go
@@ -103,14 +103,16 @@
 // serve serves HTTP on a listener until close is called. The connections may use a share of the
 // descriptors.
 func (b *base) serve(name string, descriptorShare float64, l net.Listener, h http.Handler) {
-	s := b.newServer(b.newConnections(name, descriptorShare), h)
+	s := b.newServer(b.newConnections(name, descriptorShare), h, nil)
 	s.MaxHeaderBytes = maxControlHeaderBytes
 	b.start(s, l)
 }
 
-// newServer returns a server for bounded connections.
-func (b *base) newServer(connections *limiter.Connections, h http.Handler) *boundedServer {
+// newServer returns a server for bounded connections. observe, if set, is called with each change
+// of a connection's state.
+func (b *base) newServer(connections *limiter.Connections, h http.Handler, observe func(net.Conn, http.ConnState)) *boundedServer {
 	s := &http.Server{
+		ConnState:         observe,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeoutMillis * time.Millisecond,
 		IdleTimeout:       idleTimeoutMillis * time.Millisecond,
--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -328,3 +328,29 @@
 	require.NoError(t, <-s.entryStopped)
 	require.Empty(t, s.slowArrived, "a late request was passed on")
 }
+
+// TestIdleConnectionOfCallerMakesPlace guards against callers' connections that count as in use
+// after their request has ended: the entry would refuse all new ones.
+func TestIdleConnectionOfCallerMakesPlace(t *testing.T) {
+	const places = 16
+	s := startSystem(t, func(entry *loader.RelaySettings) { entry.MaxDescriptors = 4 * places })
+	defer close(s.releaseSlow)
+	require.Eventually(t, func() bool { return s.putConfig(fmt.Sprintf(configText, 3)) == http.StatusOK }, waitTimeout, pollInterval)
+	require.Eventually(t, s.ready, waitTimeout, pollInterval)
+	for range 2 * places {
+		require.Eventually(t, func() bool {
+			c, err := s.dialEntry()
+			if err != nil {
+				return false
+			}
+			t.Cleanup(func() { _ = c.Close() })
+			if c.send("/r/1") != nil {
+				return false
+			}
+			status, _, _, err := c.receive()
+			return err == nil && status == http.StatusOK
+		}, waitTimeout, pollInterval)
+	}
+	s.stopEntry()
+	require.NoError(t, <-s.entryStopped)
+}
