distributor: every voter names the number of all subscribers

Change: a voter passes on the number that the leader named within 2 s, or its own if that is higher. Result: TestEveryVoterNamesAllSubscribers fails without it.

--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -24,6 +24,9 @@
 	// subscriberExpiryMillis is the time after its last request for which an instance
 	// counts as a subscriber.
 	subscriberExpiryMillis = 20_000
+	// leaderCountExpiryMillis is the time for which the leader's number of subscribers counts at
+	// another voter, which polls it several times a second.
+	leaderCountExpiryMillis = 2000
 )
 
 // PollRequest is a request to a voter for a newer configuration or another list.
@@ -89,6 +92,9 @@
 	// the last report about it by another voter.
 	subscribers map[figseam.InstanceID]time.Time
 	dataCentres map[figseam.InstanceID]figseam.DataCentre
+	// leaderCount is the number of subscribers that the leader named at leaderCountAt.
+	leaderCount   int
+	leaderCountAt time.Time
 }
 
 // NewServer returns the server of a voter. hasQuorum reports whether the voter is
@@ -166,15 +172,17 @@
 	}
 }
 
-// MergeVoters records the data centres in a list of voters that another voter has sent.
-func (h *Server) MergeVoters(voters []Voter) {
+// MergeReply records the data centres of the voters and the number of subscribers in a reply of
+// the leader, to which all voters report theirs.
+func (h *Server) MergeReply(r PollReply) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, v := range voters {
+	for _, v := range r.Voters {
 		if v.DataCentre != "" {
 			h.dataCentres[v.Instance] = v.DataCentre
 		}
 	}
+	h.leaderCount, h.leaderCountAt = r.SubscriberCount, time.Now()
 }
 
 // Voters returns all voters with their data centres, which are empty where unknown.
@@ -189,8 +197,18 @@
 	return all
 }
 
-// SubscriberCount returns the number of [Server.Subscribers].
-func (h *Server) SubscriberCount() int { return len(h.Subscribers()) }
+// SubscriberCount returns the number of subscribers of all voters: that of the leader, or that
+// of [Server.Subscribers] if it is higher or the leader has not named one recently. Instances
+// divide allowances by it, so the higher number is the safe one.
+func (h *Server) SubscriberCount() int {
+	own := len(h.Subscribers())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if time.Since(h.leaderCountAt) > leaderCountExpiryMillis*time.Millisecond {
+		return own
+	}
+	return max(own, h.leaderCount)
+}
 
 // Subscribers returns the instances that polled this voter within
 // subscriberExpiryMillis, and those that other voters reported within it.
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -248,3 +248,36 @@
 		require.Equal(t, r.subscriber.CurrentVoter(), r.subscriber.ReportVoter())
 	})
 }
+
+// TestEveryVoterNamesAllSubscribers guards against instances that divide allowances, for example
+// that of retries, by the subscribers of their own voter alone: together they use a multiple.
+func TestEveryVoterNamesAllSubscribers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		newServer := func(name figseam.InstanceID) *distributor.Server {
+			list := lister.New(nil, func() time.Duration { return time.Hour }, zerolog.Nop())
+			return distributor.NewServer(distributor.Voter{Instance: name}, keeper.NewMachine(), list, func() bool { return true },
+				func() []figseam.InstanceID { return []figseam.InstanceID{"a", "b"} })
+		}
+		leader, follower := newServer("a"), newServer("b")
+		poll := func(s *distributor.Server, id string) distributor.PollReply {
+			return s.Poll(t.Context(), distributor.PollRequest{Instance: figseam.InstanceID(id), StatusOnly: true})
+		}
+		for i := range 5 {
+			poll(leader, fmt.Sprint("leader's ", i))
+		}
+		for i := range 3 {
+			require.Equal(t, i+1, poll(follower, fmt.Sprint("follower's ", i)).SubscriberCount)
+		}
+		report := func() {
+			follower.MergeReply(leader.Poll(t.Context(), distributor.PollRequest{
+				Instance: "b", IsVoter: true, StatusOnly: true, Subscribers: follower.Subscribers(),
+			}))
+		}
+		report()
+		require.Equal(t, 8, poll(leader, "leader's 0").SubscriberCount)
+		require.Equal(t, 8, poll(follower, "follower's 0").SubscriberCount)
+		// A number that the leader no longer confirms expires.
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 3, poll(follower, "follower's 0").SubscriberCount)
+	})
+}
--- a/runner/voter.go
+++ b/runner/voter.go
@@ -183,10 +183,11 @@
 	return 1<<64 - 1, digest
 }
 
-// applyReply merges the endpoint list and the voters of the leader's reply.
+// applyReply merges the endpoint list, the voters and the number of subscribers of the leader's
+// reply.
 func (v *Voter) applyReply(r distributor.PollReply) {
 	v.list.Merge(r.List)
-	v.distributor.MergeVoters(r.Voters)
+	v.distributor.MergeReply(r)
 }
 
 // Run serves until ctx is done. A disk that refuses writes does not end it, see
