relayer: the memory of an answer is freed if its caller leaves while it is written

Cause: since a request whose caller is gone ends by a panic that closes the connection. The memory of the answer was released after the write, which the panic skips, so answers to callers that left used up the memory of all answers. Change: the release is deferred.

--- a/relayer/calling.go
+++ b/relayer/calling.go
@@ -66,8 +66,8 @@
 		}
 		t.attempts++
 		if code == "" && (response.status < http.StatusInternalServerError || t.route.Semantics != figseam.Idempotent) {
+			defer response.release()
 			t.writeResponse(response, explainer.ResponseRelayed)
-			response.release()
 			return
 		}
 		if code == "" {
