--- a/replicator/node.go
+++ b/replicator/node.go
@@ -275,9 +275,9 @@
 	return ended
 }
 
-// HasQuorum reports whether this replica is a leader in contact with a majority of
-// voters, or has recently had all committed entries of a leader. A replica that hears the
-// leader but cannot store its entries lacks what the group has agreed on.
+// HasQuorum reports whether this replica is a leader in contact with a majority of voters, or
+// a follower that recently had all entries that its leader had committed. Contact with the
+// leader alone is not enough, since a follower whose disk refuses writes falls behind.
 func (n *Node) HasQuorum() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/runner/relay_test.go
+++ b/runner/relay_test.go
@@ -283,10 +283,9 @@
 	require.Contains(t, s.logs.String(), `"message":"ended"`)
 }
 
-// TestStoppedEntryAnswersRequestsItHasRead guards against requests that an entry reads in its
-// grace period, passes on and cuts off without an answer at the end: one that is in flight
-// when the entry is told to stop, one on a connection that was idle then, and one that comes
-// late on a connection that was silent.
+// TestStoppedEntryAnswersRequestsItHasRead guards against requests that an entry relays during its
+// grace period and ends without a response: one in flight at SIGTERM, one sent afterwards on an
+// idle connection, and one sent near the end of the period on a connection without a request.
 func TestStoppedEntryAnswersRequestsItHasRead(t *testing.T) {
 	s := startSystem(t, func(entry *loader.RelaySettings) { entry.GracePeriodSeconds = 5 })
 	defer close(s.releaseSlow)
--- a/wire.go
+++ b/wire.go
@@ -115,8 +115,7 @@
 	RequestLimit *float64
 }
 
-// EndpointNotice is what an endpoint says of itself in the head of an answer, whatever the
-// answer is.
+// EndpointNotice is the state that an endpoint reports in the header of a response of any status.
 type EndpointNotice struct {
 	// Leaving reports that the endpoint is about to stop and takes no new work.
 	Leaving bool
