--- a/review/rig3/case11.go
+++ b/review/rig3/deadly.go
@@ -61,7 +61,7 @@
 	sendSound := func(i int) {
 		p := d.entries[i%len(d.entries)]
 		g := generation{id: newID("50"), path: "/audit/x", input: promptTokens, output: answerTokens, timeout: 14 * time.Second}
-		g.prefix = fmt.Sprintf("%s:200,%s:%d", sharedPart, g.id, promptTokens-200)
+		g.prefix = fmt.Sprintf("%s:100,%s:%d", sharedPart, g.id, promptTokens-100)
 		s := &soundRequest{sentAt: time.Now()}
 		mu.Lock()
 		sound = append(sound, s)
@@ -76,7 +76,7 @@
 	// A batch is one caller's, so that all its requests come to one entry.
 	sendDeadly := func(p *process) {
 		g := generation{id: newID("de"), path: "/audit/x", input: promptTokens, output: answerTokens, timeout: 14 * time.Second}
-		g.prefix = fmt.Sprintf("%s:200,%s:100,%s:%d", sharedPart, deadlyPart, g.id, promptTokens-300)
+		g.prefix = fmt.Sprintf("%s:100,%s:40,%s:%d", sharedPart, deadlyPart, g.id, promptTokens-140)
 		o := d.generate(ctx, p, g)
 		r.add("client", "deadly %s to %s: status %d, began %t, %v, %d ms", g.id, p.name, o.status, o.began, o.err, o.took.Milliseconds())
 	}
@@ -125,7 +125,7 @@
 	f.mu.Lock()
 	crashes, deadly := f.crashes, f.deadlyArrivals
 	f.mu.Unlock()
-	r.say("engines crashed %d times, %d requests with the deadly part reached engines", len(crashes), len(deadly))
+	r.say("engines crashed %d times, %d requests with the deadly part reached engines", len(crashes), distinct(deadly, always))
 	if len(crashes) == 0 {
 		n, of := share(troubleAt, stopped)
 		r.say("no crash: %d of %d sound requests began after %v", n, of, calmTime)
@@ -141,12 +141,7 @@
 	last := crashes[min(len(crashes), 5)-1]
 	broken := false
 	if len(crashes) >= 5 {
-		late := 0
-		for _, at := range deadly {
-			if at.After(last.Add(contactWindow)) {
-				late++
-			}
-		}
+		late := distinct(deadly, func(at time.Time) bool { return at.After(last.Add(contactWindow)) })
 		r.say("BUDGET: %d requests with the deadly part reached engines later than %v after the fifth crash (at most %d)", late, contactWindow, mostDeadlySent)
 		broken = late > mostDeadlySent
 	}
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -36,7 +36,7 @@
 	// crashes holds the times of the crashes.
 	crashes []time.Time
 	// deadlyArrivals holds the arrivals of requests with the deadly part, prefills too.
-	deadlyArrivals []time.Time
+	deadlyArrivals []arrival
 	// runs counts the runs of each request.
 	runs map[string]int
 	// work is how long a plain service works on a request.
@@ -45,6 +45,26 @@
 	tokens func(r *http.Request) int
 }
 
+// arrival is the arrival of a request at an engine.
+type arrival struct {
+	at time.Time
+	id string
+}
+
+// distinct returns the number of different requests among the arrivals that count.
+func distinct(arrivals []arrival, counts func(at time.Time) bool) int {
+	ids := map[string]bool{}
+	for _, a := range arrivals {
+		if counts(a.at) {
+			ids[a.id] = true
+		}
+	}
+	return len(ids)
+}
+
+// always counts every arrival.
+func always(time.Time) bool { return true }
+
 // server is an engine, or a server of a plain service.
 type server struct {
 	fleet    *fleet
@@ -55,17 +75,19 @@
 	kvTokens int
 
 	// The fleet's mu guards the fields below.
-	id       string
-	lives    int
-	born     time.Time
-	up       bool
-	http     *http.Server
-	running  int
-	used     int
-	holds    map[string]hold
-	handles  map[string]handle
-	issued   int
-	prefills sync.Mutex
+	// heldUntil is the end of a time in which the path to the server carries no bytes.
+	heldUntil time.Time
+	id        string
+	lives     int
+	born      time.Time
+	up        bool
+	http      *http.Server
+	running   int
+	used      int
+	holds     map[string]hold
+	handles   map[string]handle
+	issued    int
+	prefills  sync.Mutex
 }
 
 type hold struct {
@@ -146,7 +168,7 @@
 	life := s.lives
 	s.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, life) })}
 	h := s.http
-	go func() { _ = h.Serve(l) }()
+	go func() { _ = h.Serve(heldListener{Listener: l, server: s}) }()
 	return nil
 }
 
@@ -301,7 +323,7 @@
 	prefill := r.Header.Get("X-Figseam-Stage") == "prefill"
 	if deadly {
 		f.mu.Lock()
-		f.deadlyArrivals = append(f.deadlyArrivals, time.Now())
+		f.deadlyArrivals = append(f.deadlyArrivals, arrival{at: time.Now(), id: id})
 		f.mu.Unlock()
 	}
 	if prefill != (s.stage == "prefill") {
@@ -441,3 +463,56 @@
 	}
 	f.record.add(s.id, "%s is complete", id)
 }
+
+// hold keeps back all bytes to and from the server for a time, as a path that is cut and heals.
+func (s *server) hold(d time.Duration) {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.heldUntil = time.Now().Add(d)
+}
+
+// awaitPath returns once the path to the server carries bytes.
+func (s *server) awaitPath() {
+	for {
+		s.fleet.mu.Lock()
+		d := time.Until(s.heldUntil)
+		s.fleet.mu.Unlock()
+		if d <= 0 {
+			return
+		}
+		time.Sleep(d)
+	}
+}
+
+// heldListener accepts channels whose bytes the server's path holds back.
+type heldListener struct {
+	net.Listener
+	server *server
+}
+
+// Accept implements [net.Listener].
+func (l heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return heldConn{Conn: c, server: l.server}, nil
+}
+
+type heldConn struct {
+	net.Conn
+	server *server
+}
+
+// Read implements [net.Conn].
+func (c heldConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.server.awaitPath()
+	return n, err
+}
+
+// Write implements [net.Conn].
+func (c heldConn) Write(p []byte) (int, error) {
+	c.server.awaitPath()
+	return c.Conn.Write(p)
+}
--- a/review/rig3/proc.go
+++ b/review/rig3/proc.go
@@ -48,12 +48,8 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	text, err := json.Marshal(p.settings)
-	if err != nil {
-		return err
-	}
 	file := filepath.Join(p.dir, p.name+".json")
-	if err := os.WriteFile(file, text, 0o600); err != nil {
+	if err := p.write(file); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -82,6 +78,24 @@
 	return nil
 }
 
+// write writes the settings file.
+func (p *process) write(file string) error {
+	text, err := json.Marshal(p.settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, text, 0o600)
+}
+
+// rewrite writes the settings file of a process that has started anew.
+func (p *process) rewrite() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.write(filepath.Join(p.dir, p.name+".json"))
+	}
+}
+
 // signal sends a signal to the process. The end that it may cause counts as wanted.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
