--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -454,7 +454,9 @@
 		}
 		_ = flusher.Flush()
 		f.mu.Lock()
-		pause := time.Duration(tokensPerEvent * (stepMillis + stepMillisPerRequest*float64(s.running)) * float64(time.Millisecond))
+		// All requests of a batch take their steps together.
+		step := time.Duration(tokensPerEvent * (stepMillis + stepMillisPerRequest*float64(s.running)) * float64(time.Millisecond))
+		pause := step - time.Duration(time.Now().UnixNano())%step
 		f.mu.Unlock()
 		if !s.wait(r.Context(), pause) {
 			f.record.add(s.id, "%s is broken off after event %d", id, event)
