--- a/review/rig3/path.go
+++ b/review/rig3/path.go
@@ -14,7 +14,7 @@
 func init() { cases["14"] = heldPath }
 
 const (
-	heldStreams  = 60
+	heldStreams  = 40
 	heldTime     = 2600 * time.Millisecond
 	heldWaves    = 3
 	waveTime     = 12 * time.Second
