--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -18,11 +17,11 @@
 	soundEvery     = 100 * time.Millisecond
 	calmTime       = 12 * time.Second
 	troubleTime    = 32 * time.Second
-	batchEvery     = 1500 * time.Millisecond
-	batchSize      = 40
+	batchEvery     = time.Second
+	batchSize      = 20
 	sharedPart     = "5c1e07a2"
 	deadlyPart     = "dead0bad"
-	promptTokens   = 300
+	promptTokens   = 150
 	answerTokens   = 66
 	leastOfEach    = 20
 	mostDeadlySent = 3
@@ -50,6 +49,7 @@
 		return false, err
 	}
 	size := number(os.Getenv("BATCH"), batchSize)
+	every := time.Duration(number(os.Getenv("EVERY"), int(batchEvery/time.Millisecond))) * time.Millisecond
 	d.fleet.deadlyPart = deadlyPart
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -61,7 +61,7 @@
 	sendSound := func(i int) {
 		p := d.entries[i%len(d.entries)]
 		g := generation{id: newID("50"), path: "/audit/x", input: promptTokens, output: answerTokens, timeout: 14 * time.Second}
-		g.prefix = fmt.Sprintf("%s:100,%s:%d", sharedPart, g.id, promptTokens-100)
+		g.prefix = fmt.Sprintf("%s:60,%s:%d", sharedPart, g.id, promptTokens-60)
 		s := &soundRequest{sentAt: time.Now()}
 		mu.Lock()
 		sound = append(sound, s)
@@ -73,22 +73,24 @@
 		mu.Unlock()
 		r.add("client", "sound %s to %s: status %d, began %t, complete %t, %v, %d ms", g.id, p.name, o.status, o.began, o.complete, o.err, o.took.Milliseconds())
 	}
-	// A batch is one caller's, so that all its requests come to one entry.
+	// A batch is one caller's, so that all its requests come to one entry; callers of all
+	// entries take turns.
 	sendDeadly := func(p *process) {
 		g := generation{id: newID("de"), path: "/audit/x", input: promptTokens, output: answerTokens, timeout: 14 * time.Second}
-		g.prefix = fmt.Sprintf("%s:100,%s:40,%s:%d", sharedPart, deadlyPart, g.id, promptTokens-140)
+		g.prefix = fmt.Sprintf("%s:60,%s:30,%s:%d", sharedPart, deadlyPart, g.id, promptTokens-90)
 		o := d.generate(ctx, p, g)
 		r.add("client", "deadly %s to %s: status %d, began %t, %v, %d ms", g.id, p.name, o.status, o.began, o.err, o.took.Milliseconds())
 	}
 	began := time.Now()
 	troubleAt := began.Add(calmTime)
 	end := troubleAt.Add(troubleTime)
-	nextBatch := troubleAt
+	nextBatch, batches := troubleAt, 0
 	for i := 0; time.Now().Before(end); i++ {
 		tasks.Go(func() { sendSound(i) })
 		if trouble && !time.Now().Before(nextBatch) {
-			nextBatch = nextBatch.Add(batchEvery)
-			p := d.entries[rand.IntN(len(d.entries))]
+			nextBatch = nextBatch.Add(every)
+			p := d.entries[batches%len(d.entries)]
+			batches++
 			for range size {
 				tasks.Go(func() { sendDeadly(p) })
 			}
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -409,7 +409,7 @@
 // prefill reads a prompt, one after the other.
 func (s *server) prefill(w http.ResponseWriter, r *http.Request, id string, input int) {
 	s.prefills.Lock()
-	ok := s.wait(r.Context(), 5*time.Millisecond+time.Duration(float64(input)/promptTokensPerMilli*float64(time.Millisecond)))
+	ok := s.wait(r.Context(), 2*time.Millisecond+time.Duration(float64(input)/promptTokensPerMilli*float64(time.Millisecond)))
 	s.prefills.Unlock()
 	if !ok {
 		return
--- a/review/rig3/forgotten.go
+++ b/review/rig3/forgotten.go
@@ -13,7 +13,7 @@
 
 // Times and sizes of the case.
 const (
-	smallBatch      = 6
+	smallBatch      = 4
 	smallBatchEvery = 6 * time.Second
 	batchesBefore   = 5
 	batchesAfter    = 5
@@ -45,7 +45,7 @@
 		for i := 0; time.Now().Before(end); i++ {
 			p := d.entries[i%len(d.entries)]
 			g := generation{id: newID("50"), path: "/audit/x", input: promptTokens, output: answerTokens, timeout: 14 * time.Second}
-			g.prefix = fmt.Sprintf("%s:100,%s:%d", sharedPart, g.id, promptTokens-100)
+			g.prefix = fmt.Sprintf("%s:60,%s:%d", sharedPart, g.id, promptTokens-60)
 			tasks.Go(func() {
 				o := d.generate(ctx, p, g)
 				if o.status == 502 || o.began && !o.complete {
@@ -63,7 +63,7 @@
 		for range smallBatch {
 			tasks.Go(func() {
 				g := generation{id: newID("de"), path: "/audit/x", input: promptTokens, output: answerTokens, timeout: 5 * time.Second}
-				g.prefix = fmt.Sprintf("%s:100,%s:40,%s:%d", sharedPart, deadlyPart, g.id, promptTokens-140)
+				g.prefix = fmt.Sprintf("%s:60,%s:30,%s:%d", sharedPart, deadlyPart, g.id, promptTokens-90)
 				o := d.generate(ctx, p, g)
 				r.add("client", "deadly %s to %s: status %d, began %t, %v", g.id, p.name, o.status, o.began, o.err)
 			})
