--- a/review/rig3/deadly.go
+++ b/review/rig3/deadly.go
@@ -18,7 +18,7 @@
 	calmTime       = 12 * time.Second
 	troubleTime    = 32 * time.Second
 	batchEvery     = time.Second
-	batchSize      = 20
+	batchSize      = 30
 	sharedPart     = "5c1e07a2"
 	deadlyPart     = "dead0bad"
 	promptTokens   = 150
