--- a/review/rig3/crowd.go
+++ b/review/rig3/crowd.go
@@ -21,6 +21,8 @@
 	ordinaryEvery    = 300 * time.Millisecond
 	ordinaryTimeout  = 800 * time.Millisecond
 	leastTrying      = 7
+	// crowdRecorded is the number of channels of the crowd that stand in the record.
+	crowdRecorded = 1000
 )
 
 // crowdFields are the numbers of fields of the crowd's heads. The longest head stays below
@@ -85,8 +87,11 @@
 		for n := range number(os.Getenv("CROWD"), crowdConnections) {
 			tasks.Go(func() {
 				for time.Now().Before(crowdEnd) {
-					opened.Add(1)
-					d.stopShort(target, crowdFields[n%len(crowdFields)], crowdEnd)
+					fields, began := crowdFields[n%len(crowdFields)], time.Now()
+					d.stopShort(target, fields, crowdEnd)
+					if opened.Add(1) <= crowdRecorded {
+						r.add("crowd", "a channel with %d fields and a body short of its last byte was closed after %d ms", fields, time.Since(began).Milliseconds())
+					}
 					time.Sleep(time.Duration(number(os.Getenv("PAUSE"), 100)) * time.Millisecond)
 				}
 			})
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -224,7 +224,8 @@
 		f.mu.Unlock()
 		_ = json.NewEncoder(w).Encode(report)
 	case r.URL.Path == "/figseam/order":
-		w.WriteHeader(http.StatusConflict)
+		f.record.add(self, "an order arrives; it is refused as one that doesn't exist")
+		w.WriteHeader(http.StatusBadRequest)
 	case r.URL.Path == "/healthz":
 		w.Header().Set("X-Figseam-Instance-Id", self)
 	case s.stage == "":
--- a/review/rig3/isolated.go
+++ b/review/rig3/isolated.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
@@ -79,7 +80,7 @@
 		return false, err
 	}
 	d.setSeeds(a, e, f)
-	d.voters = []*process{a, e, f}
+	d.voters, d.others = []*process{a, e, f}, []*process{b, c}
 	time.Sleep(time.Until(began.Add(cutTime)))
 	if trouble {
 		r.say("%.1f s: the cut heals; the settings of %s name %s and %s as seeds", time.Since(began).Seconds(), a.name, e.name, f.name)
@@ -92,6 +93,10 @@
 		return false, err
 	}
 	time.Sleep(time.Until(healed.Add(catchUp + recovery + time.Second)))
+	if !a.hasRead(e.ip, f.ip) {
+		return false, fmt.Errorf("%s has not read its new settings", a.name)
+	}
+	r.say("%s has read the settings that name %s and %s", a.name, e.ip, f.ip)
 	r.say("%.1f s: %s is killed and stays down; %s and %s run", time.Since(began).Seconds(), e.name, a.name, f.name)
 	e.kill()
 	time.Sleep(5 * time.Second)
@@ -139,3 +144,22 @@
 	version, _, _ = strings.Cut(version, ",")
 	return r.StatusCode, version
 }
+
+// hasRead reports whether the process has logged that it read settings whose seeds have all these
+// addresses.
+func (p *process) hasRead(ips ...string) bool {
+	text, err := os.ReadFile(filepath.Join(p.dir, p.name+".log"))
+	if err != nil {
+		return false
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		all := strings.Contains(line, `"settings read"`)
+		for _, ip := range ips {
+			all = all && strings.Contains(line, ip+":")
+		}
+		if all {
+			return true
+		}
+	}
+	return false
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -6,7 +6,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +24,30 @@
 // cases holds the cases by name.
 var cases = map[string]func(r *recorder, trouble bool) (bool, error){}
 
+// running is the deployment that must be ended whatever ends the case.
+var running struct {
+	mu         sync.Mutex
+	deployment *deployment
+}
+
+// keep makes a deployment the one that is ended with the case.
+func keep(d *deployment) {
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	running.deployment = d
+}
+
+// giveUp ends all processes of the case, and the case as one that couldn't run.
+func giveUp(r *recorder, why string) {
+	r.say("%s", why)
+	running.mu.Lock()
+	defer running.mu.Unlock()
+	if running.deployment != nil {
+		running.deployment.end()
+	}
+	os.Exit(couldNot)
+}
+
 func main() {
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: rig3 CASE FOLDER")
@@ -36,10 +63,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(couldNot)
 	}
-	time.AfterFunc(caseLimit, func() {
-		r.say("the case took too long")
-		os.Exit(couldNot)
-	})
+	time.AfterFunc(caseLimit, func() { giveUp(r, "the case took too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		giveUp(r, "the case was ended from outside")
+	}()
 	isBroken, err := run(r, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/rig3/proc.go
+++ b/review/rig3/proc.go
@@ -84,7 +84,10 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(file, text, 0o600)
+	if err := os.WriteFile(file+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(file+".new", file)
 }
 
 // rewrite writes the settings file of a process that has started anew.
@@ -167,10 +170,12 @@
 	zones   []string
 	voters  []*process
 	entries []*process
-	fleet   *fleet
-	list    *http.Server
-	record  *recorder
-	client  *http.Client
+	// others are processes that are voters no more.
+	others []*process
+	fleet  *fleet
+	list   *http.Server
+	record *recorder
+	client *http.Client
 }
 
 // shape is the size of a deployment.
@@ -219,6 +224,7 @@
 		return nil, err
 	}
 	d := &deployment{dir: dir, net: prefix, binary: binary, record: r, zones: []string{"zone-a", "zone-b", "zone-c"}}
+	keep(d)
 	d.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	d.fleet = newFleet(r)
 	d.addEndpoints(s)
@@ -385,7 +391,7 @@
 
 // end ends all processes and servers and removes the folder.
 func (d *deployment) end() {
-	for _, p := range d.all() {
+	for _, p := range append(d.all(), d.others...) {
 		p.kill()
 	}
 	d.fleet.end()
